Design page, resources, links, keys and settings

Cause: the project starts; parts built side by side need shared types and one written design. Conclusion: the packages compile against one set of interfaces.

--- /dev/null
+++ b/link/link.go
@@ -0,0 +1,117 @@
+// Package link carries streams between the system's processes. It is one
+// narrow interface with two implementations, QUIC (link/quiclink) and TLS over
+// TCP (link/tlslink), both with mutual TLS 1.3 under the fleet's authority.
+//
+// A stream carries frames in both directions. It serves one exchange: one side
+// opens it and sends the first frame, and both sides end it with Close after a
+// complete exchange or with Reset at any other point.
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+)
+
+// MaxPayload is the largest payload of a frame, in bytes.
+const MaxPayload = 64 << 10
+
+// headerSize is the size of a frame's header, in bytes: type and length.
+const headerSize = 5
+
+// FrameType tells what a frame's payload is. The types are defined by package
+// wire; link does not interpret them.
+type FrameType byte
+
+// Frame is the unit of transfer on a stream.
+type Frame struct {
+	Type FrameType
+	// Payload is valid until the next ReadFrame on the same stream.
+	Payload []byte
+}
+
+// Errors of streams.
+var (
+	ErrFrameTooLarge = errors.New("link: frame payload over 64 KiB")
+	ErrReset         = errors.New("link: stream was reset")
+)
+
+// Stream is one exchange of frames. ReadFrame and WriteFrame may be called
+// from different goroutines, but each from one at a time.
+type Stream interface {
+	ReadFrame() (Frame, error)
+	WriteFrame(t FrameType, payload []byte) error
+	// SetReadDeadline bounds ReadFrame. The zero time removes the bound. A
+	// ReadFrame that ran into its deadline may have lost part of a frame; the
+	// stream is then only good for Reset.
+	SetReadDeadline(t time.Time) error
+	// Reset ends the stream at once. The other side's calls fail.
+	Reset()
+	// Close ends a stream whose exchange is complete in both directions. Its
+	// connection may then be used again.
+	Close() error
+	// PeerName is the name in the other side's certificate.
+	PeerName() string
+}
+
+// Dialer opens streams to other processes over connections that it keeps.
+type Dialer interface {
+	// Open opens a stream to addr, an IP and port. It fails unless a connection
+	// is there or can be made before ctx ends.
+	Open(ctx context.Context, addr string) (Stream, error)
+	// Replace makes the next Open to addr use a new connection. Streams open on
+	// the present one go on. It is called when a connection has gone silent.
+	Replace(addr string)
+	Close() error
+}
+
+// Listener accepts streams from other processes.
+type Listener interface {
+	Accept(ctx context.Context) (Stream, error)
+	Addr() string
+	Close() error
+}
+
+// FrameReader reads frames from a byte stream into a buffer that it reuses.
+type FrameReader struct {
+	r      io.Reader
+	header [headerSize]byte
+	buf    []byte
+}
+
+// NewFrameReader returns a reader of frames from r.
+func NewFrameReader(r io.Reader) *FrameReader { return &FrameReader{r: r} }
+
+// ReadFrame reads one frame. It returns io.EOF only between frames.
+func (f *FrameReader) ReadFrame() (Frame, error) {
+	if _, err := io.ReadFull(f.r, f.header[:]); err != nil {
+		return Frame{}, err
+	}
+	n := int(f.header[1])<<24 | int(f.header[2])<<16 | int(f.header[3])<<8 | int(f.header[4])
+	if n > MaxPayload {
+		return Frame{}, fmt.Errorf("%w: %d bytes announced", ErrFrameTooLarge, n)
+	}
+	if cap(f.buf) < n {
+		f.buf = make([]byte, max(n, 4<<10))
+	}
+	payload := f.buf[:n]
+	if _, err := io.ReadFull(f.r, payload); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return Frame{}, err
+	}
+	return Frame{FrameType(f.header[0]), payload}, nil
+}
+
+// AppendFrame appends the encoding of a frame to b.
+func AppendFrame(b []byte, t FrameType, payload []byte) ([]byte, error) {
+	n := len(payload)
+	if n > MaxPayload {
+		return b, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, n)
+	}
+	b = append(b, byte(t), byte(n>>24), byte(n>>16), byte(n>>8), byte(n))
+	return append(b, payload...), nil
+}
--- /dev/null
+++ b/link/quiclink/quiclink.go
@@ -0,0 +1,268 @@
+// Package quiclink implements link over QUIC: one QUIC stream per exchange on
+// a small number of connections per peer.
+package quiclink
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/godwithub/godwithub/link"
+)
+
+const (
+	// protocol is the ALPN name of the link.
+	protocol = "godwithub-link/1"
+	// idleTimeout ends a connection on which nothing has arrived.
+	idleTimeout = 60 * time.Second
+	// maxStreams is how many exchanges a peer may have open on one connection.
+	maxStreams = 4096
+	// resetCode is the application error code of a reset stream.
+	resetCode = 1
+	// readBuffer is the size of a stream's read buffer, in bytes.
+	readBuffer = 4 << 10
+)
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        idleTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+func withProtocol(c *tls.Config) *tls.Config {
+	c = c.Clone()
+	c.NextProtos = []string{protocol}
+	return c
+}
+
+// Dialer opens streams over QUIC. It keeps up to connsPerPeer connections to
+// each peer and uses them in turn.
+type Dialer struct {
+	tls          *tls.Config
+	transport    *quic.Transport
+	connsPerPeer int
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed bool
+}
+
+type peer struct {
+	mu    sync.Mutex
+	conns []*quic.Conn
+	next  int
+	// generation counts calls of Replace.
+	generation int
+}
+
+// NewDialer returns a dialer that sends from a UDP socket of its own on
+// localIP, or on any address if localIP is empty. connsPerPeer is at least 1.
+func NewDialer(localIP string, c *tls.Config, connsPerPeer int) (*Dialer, error) {
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(localIP)})
+	if err != nil {
+		return nil, fmt.Errorf("quiclink: %w", err)
+	}
+	return &Dialer{
+		tls:          withProtocol(c),
+		transport:    &quic.Transport{Conn: udp},
+		connsPerPeer: max(1, connsPerPeer),
+		peers:        map[string]*peer{},
+	}, nil
+}
+
+func (d *Dialer) peer(addr string) (*peer, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, link.ErrClosed
+	}
+	p := d.peers[addr]
+	if p == nil {
+		p = &peer{}
+		d.peers[addr] = p
+	}
+	return p, nil
+}
+
+// Open implements link.Dialer.
+func (d *Dialer) Open(ctx context.Context, addr string) (link.Stream, error) {
+	p, err := d.peer(addr)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := d.connection(ctx, p, addr)
+	if err != nil {
+		return nil, err
+	}
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("quiclink: open stream to %s: %w", addr, err)
+	}
+	return newStream(s, conn), nil
+}
+
+func (d *Dialer) connection(ctx context.Context, p *peer, addr string) (*quic.Conn, error) {
+	p.mu.Lock()
+	p.dropClosed()
+	if len(p.conns) >= d.connsPerPeer {
+		conn := p.conns[p.next%len(p.conns)]
+		p.next++
+		p.mu.Unlock()
+		return conn, nil
+	}
+	generation := p.generation
+	p.mu.Unlock()
+
+	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("quiclink: %w", err)
+	}
+	conn, err := d.transport.Dial(ctx, udpAddr, d.tls, quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("quiclink: dial %s: %w", addr, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// A connection begun before Replace, or beside others that came first,
+	// serves its one stream only.
+	if generation == p.generation && len(p.conns) < d.connsPerPeer {
+		p.conns = append(p.conns, conn)
+	}
+	return conn, nil
+}
+
+func (p *peer) dropClosed() {
+	kept := p.conns[:0]
+	for _, c := range p.conns {
+		if c.Context().Err() == nil {
+			kept = append(kept, c)
+		}
+	}
+	clear(p.conns[len(kept):])
+	p.conns = kept
+}
+
+// Replace implements link.Dialer.
+func (d *Dialer) Replace(addr string) {
+	p, err := d.peer(addr)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = nil
+	p.generation++
+}
+
+// Close implements link.Dialer.
+func (d *Dialer) Close() error {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	err := d.transport.Close()
+	d.transport.Conn.Close()
+	return err
+}
+
+// Listener accepts streams over QUIC.
+type Listener struct {
+	queue    *link.AcceptQueue
+	listener *quic.Listener
+}
+
+// Listen accepts QUIC connections on addr, an IP and UDP port.
+func Listen(addr string, c *tls.Config) (*Listener, error) {
+	ln, err := quic.ListenAddr(addr, withProtocol(c), quicConfig())
+	if err != nil {
+		return nil, fmt.Errorf("quiclink: %w", err)
+	}
+	l := &Listener{link.NewAcceptQueue(), ln}
+	go l.acceptConnections()
+	return l, nil
+}
+
+func (l *Listener) acceptConnections() {
+	for {
+		conn, err := l.listener.Accept(context.Background())
+		if err != nil {
+			l.queue.Close()
+			return
+		}
+		go l.acceptStreams(conn)
+	}
+}
+
+func (l *Listener) acceptStreams(conn *quic.Conn) {
+	for {
+		s, err := conn.AcceptStream(context.Background())
+		if err != nil {
+			return
+		}
+		stream := newStream(s, conn)
+		if !l.queue.Put(stream) {
+			stream.Reset()
+		}
+	}
+}
+
+// Accept implements link.Listener.
+func (l *Listener) Accept(ctx context.Context) (link.Stream, error) { return l.queue.Accept(ctx) }
+
+// Addr implements link.Listener.
+func (l *Listener) Addr() string { return l.listener.Addr().String() }
+
+// Close implements link.Listener. Connections are closed as well.
+func (l *Listener) Close() error {
+	l.queue.Close()
+	return l.listener.Close()
+}
+
+type stream struct {
+	s      *quic.Stream
+	conn   *quic.Conn
+	reader *link.FrameReader
+	out    []byte
+}
+
+func newStream(s *quic.Stream, conn *quic.Conn) *stream {
+	return &stream{s: s, conn: conn, reader: link.NewFrameReader(bufio.NewReaderSize(s, readBuffer))}
+}
+
+func (s *stream) ReadFrame() (link.Frame, error) { return s.reader.ReadFrame() }
+
+func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
+	var err error
+	if s.out, err = link.AppendFrame(s.out[:0], t, payload); err != nil {
+		return err
+	}
+	_, err = s.s.Write(s.out)
+	return err
+}
+
+func (s *stream) SetReadDeadline(t time.Time) error { return s.s.SetReadDeadline(t) }
+
+func (s *stream) Reset() {
+	s.s.CancelRead(resetCode)
+	s.s.CancelWrite(resetCode)
+}
+
+func (s *stream) Close() error {
+	s.s.CancelRead(resetCode)
+	return s.s.Close()
+}
+
+func (s *stream) PeerName() string {
+	certs := s.conn.ConnectionState().TLS.PeerCertificates
+	if len(certs) == 0 {
+		return ""
+	}
+	return certs[0].Subject.CommonName
+}
--- /dev/null
+++ b/resource/config.go
@@ -0,0 +1,141 @@
+package resource
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Config is an immutable view of a Set, built for look-ups by traffic.
+type Config struct {
+	Version  Version
+	Services map[string]*Service
+	Kinds    map[string]*RequestKind
+	Ranks    map[string]*Rank
+	Callers  map[string]*Caller
+
+	// routes holds the routes of each host, the longest path prefix first.
+	routes map[string][]*Route
+	// kinds holds the kinds of each service, the most specific path first.
+	kinds map[string][]*RequestKind
+}
+
+// Compile returns the Config of s.
+func Compile(s *Set) *Config {
+	c := &Config{
+		Version:  s.version,
+		Services: map[string]*Service{},
+		Kinds:    map[string]*RequestKind{},
+		Ranks:    map[string]*Rank{},
+		Callers:  map[string]*Caller{},
+		routes:   map[string][]*Route{},
+		kinds:    map[string][]*RequestKind{},
+	}
+	for _, o := range s.objects {
+		c.add(o)
+	}
+	for _, routes := range c.routes {
+		slices.SortFunc(routes, compareRoutes)
+	}
+	for _, kinds := range c.kinds {
+		slices.SortFunc(kinds, compareKinds)
+	}
+	return c
+}
+
+func (c *Config) add(o Object) {
+	name := o.Metadata().Name
+	switch o := o.(type) {
+	case *Service:
+		c.Services[name] = o
+	case *RequestKind:
+		c.Kinds[name] = o
+		c.kinds[o.Service] = append(c.kinds[o.Service], o)
+	case *Rank:
+		c.Ranks[name] = o
+	case *Caller:
+		c.Callers[name] = o
+	case *Route:
+		host := strings.ToLower(o.Host)
+		c.routes[host] = append(c.routes[host], o)
+	}
+}
+
+func compareRoutes(a, b *Route) int {
+	if n := cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
+
+func compareKinds(a, b *RequestKind) int {
+	aPrefix, bPrefix := strings.HasSuffix(a.Path, "*"), strings.HasSuffix(b.Path, "*")
+	if aPrefix != bPrefix {
+		if bPrefix {
+			return -1
+		}
+		return 1
+	}
+	if n := cmp.Compare(len(b.Path), len(a.Path)); n != 0 {
+		return n
+	}
+	if a.Method != b.Method && (a.Method == "*" || b.Method == "*") {
+		if b.Method == "*" {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.Name, b.Name)
+}
+
+// Route returns the service for host and path, or nil. host may carry a port.
+func (c *Config) Route(host, path string) *Service {
+	host = strings.ToLower(stripPort(host))
+	for _, h := range [...]string{host, "*"} {
+		for _, r := range c.routes[h] {
+			if hasPathPrefix(path, r.PathPrefix) {
+				return c.Services[r.Service]
+			}
+		}
+	}
+	return nil
+}
+
+// Kind returns the request kind of service for method and path, or nil.
+func (c *Config) Kind(service, method, path string) *RequestKind {
+	for _, k := range c.kinds[service] {
+		if k.matches(method, path) {
+			return k
+		}
+	}
+	return nil
+}
+
+// KindsOf returns the request kinds of service, the most specific first.
+func (c *Config) KindsOf(service string) []*RequestKind { return c.kinds[service] }
+
+func (k *RequestKind) matches(method, path string) bool {
+	if k.Method != "*" && k.Method != method {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(k.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return path == k.Path
+}
+
+// hasPathPrefix reports whether path is prefix or lies below it, by whole
+// segments, so that "/shop" does not match "/shopping".
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+func stripPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		return host[:i]
+	}
+	return host
+}
--- /dev/null
+++ b/resource/object.go
@@ -0,0 +1,188 @@
+// Package resource holds the typed resources that operators write, their
+// validation, and the versioned configuration made of them. It does no I/O.
+package resource
+
+import "fmt"
+
+// Type names a type of resource, as in paths of the resource API.
+type Type string
+
+// Types of resources.
+const (
+	TypeService Type = "services"
+	TypeKind    Type = "kinds"
+	TypeRank    Type = "ranks"
+	TypeRoute   Type = "routes"
+	TypeCaller  Type = "callers"
+)
+
+// Types lists all types in the order in which they can be created without
+// dangling references.
+var Types = []Type{TypeRank, TypeService, TypeKind, TypeRoute, TypeCaller}
+
+// Key identifies a resource.
+type Key struct {
+	Type Type   `cbor:"1,keyasint" json:"type"`
+	Name string `cbor:"2,keyasint" json:"name"`
+}
+
+// String returns the key as "type/name".
+func (k Key) String() string { return string(k.Type) + "/" + k.Name }
+
+// Version orders configurations: first by epoch, which a restored control
+// group raises, then by revision, which each accepted change raises by one.
+type Version struct {
+	Epoch    uint64 `cbor:"1,keyasint" json:"epoch"`
+	Revision uint64 `cbor:"2,keyasint" json:"revision"`
+}
+
+// Less reports whether v is older than w.
+func (v Version) Less(w Version) bool {
+	if v.Epoch != w.Epoch {
+		return v.Epoch < w.Epoch
+	}
+	return v.Revision < w.Revision
+}
+
+// String returns the version as "epoch.revision".
+func (v Version) String() string { return fmt.Sprintf("%d.%d", v.Epoch, v.Revision) }
+
+// Meta is the part that all resources share.
+type Meta struct {
+	// Name is 1 to 63 lower-case letters, digits and inner dashes.
+	Name string `json:"name" validate:"required,resourcename"`
+	// Generation counts the changes of this resource, from 1. The system sets it.
+	Generation uint64 `json:"generation,omitempty"`
+	// Revision is the revision of the configuration that last changed this
+	// resource. A write names the revision it replaces, 0 to create.
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Metadata returns the shared part, to be read or set.
+func (m *Meta) Metadata() *Meta { return m }
+
+// Object is any resource. Objects in a Set or Config are never modified.
+type Object interface {
+	Type() Type
+	Metadata() *Meta
+	// Clone returns a copy that shares nothing with the object.
+	Clone() Object
+}
+
+// KeyOf returns the key of o.
+func KeyOf(o Object) Key { return Key{o.Type(), o.Metadata().Name} }
+
+// Service is a group of interchangeable upstreams.
+type Service struct {
+	Meta
+	// HomeRegion is where its upstreams and idempotency group are by
+	// preference. Empty: no preference.
+	HomeRegion string `json:"homeRegion,omitempty" validate:"omitempty,resourcename"`
+	// Floor is the least number of healthy upstreams that ejection must leave
+	// in service.
+	Floor int `json:"floor" validate:"min=1,max=10000"`
+}
+
+// Type implements Object.
+func (*Service) Type() Type { return TypeService }
+
+// Clone implements Object.
+func (s *Service) Clone() Object { c := *s; return &c }
+
+// RequestKind is one kind of request that a service handles.
+type RequestKind struct {
+	Meta
+	Service string `json:"service" validate:"required,resourcename"`
+	// Method is an HTTP method, or "*" for any.
+	Method string `json:"method" validate:"required,httpmethod"`
+	// Path is an exact path, or a prefix if it ends in "*". An exact path wins
+	// over a prefix and a longer prefix over a shorter one.
+	Path string `json:"path" validate:"required,pathpattern"`
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool `json:"idempotent"`
+	// Rank names the rank that the kind is served at.
+	Rank string `json:"rank" validate:"required,resourcename"`
+	// DeadlineMs is the longest time a request may take, in milliseconds.
+	DeadlineMs int64 `json:"deadlineMs" validate:"min=1,max=600000"`
+	// LatencyObjectiveMs is the latency that the objective's share of requests
+	// should stay under, in milliseconds.
+	LatencyObjectiveMs int64 `json:"latencyObjectiveMs" validate:"min=1,max=600000"`
+	// AvailabilityObjective is the share of requests to be answered within the
+	// latency objective, for instance 0.999.
+	AvailabilityObjective float64 `json:"availabilityObjective" validate:"gt=0,lt=1"`
+	// AnswerBytes is the usual size of an answer, in bytes. It decides how much
+	// work may cross between regions. 0: not known.
+	AnswerBytes int64 `json:"answerBytes,omitempty" validate:"min=0"`
+}
+
+// Type implements Object.
+func (*RequestKind) Type() Type { return TypeKind }
+
+// Clone implements Object.
+func (k *RequestKind) Clone() Object { c := *k; return &c }
+
+// Rank is a class of urgency.
+type Rank struct {
+	Meta
+	// Level orders ranks: 0 is the most urgent.
+	Level int `json:"level" validate:"min=0,max=31"`
+	// Share is the part of an upstream's capacity that the rank keeps while
+	// more urgent ranks flood, from 0 to 1. All shares add up to 1 at most.
+	Share float64 `json:"share" validate:"min=0,max=1"`
+}
+
+// Type implements Object.
+func (*Rank) Type() Type { return TypeRank }
+
+// Clone implements Object.
+func (r *Rank) Clone() Object { c := *r; return &c }
+
+// Route maps a host and path prefix to a service.
+type Route struct {
+	Meta
+	// Host is matched without port, in lower case; "*" matches any.
+	Host string `json:"host" validate:"required,max=253"`
+	// PathPrefix starts with "/". The longest prefix wins.
+	PathPrefix string `json:"pathPrefix" validate:"required,startswith=/"`
+	Service    string `json:"service" validate:"required,resourcename"`
+}
+
+// Type implements Object.
+func (*Route) Type() Type { return TypeRoute }
+
+// Clone implements Object.
+func (r *Route) Clone() Object { c := *r; return &c }
+
+// Caller is a known sender of requests, named in the Godwithub-Caller header.
+type Caller struct {
+	Meta
+	// Weight is its part of a contended rank against other callers.
+	Weight int `json:"weight" validate:"min=1,max=1000"`
+	// RatePerSecond limits its requests at each node. 0: no limit.
+	RatePerSecond float64 `json:"ratePerSecond,omitempty" validate:"min=0"`
+	// Burst is how many requests it may send at once under RatePerSecond.
+	Burst int `json:"burst,omitempty" validate:"min=0"`
+}
+
+// Type implements Object.
+func (*Caller) Type() Type { return TypeCaller }
+
+// Clone implements Object.
+func (c *Caller) Clone() Object { d := *c; return &d }
+
+// New returns an empty object of type t, or nil if there is no such type.
+func New(t Type) Object {
+	switch t {
+	case TypeService:
+		return &Service{}
+	case TypeKind:
+		return &RequestKind{}
+	case TypeRank:
+		return &Rank{}
+	case TypeRoute:
+		return &Route{}
+	case TypeCaller:
+		return &Caller{}
+	}
+	return nil
+}
--- /dev/null
+++ b/resource/resource_test.go
@@ -0,0 +1,87 @@
+package resource
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a holder that follows deltas ending up with another
+// configuration than one that reads it whole.
+func TestDeltasLeadToTheSameSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := NewSet(Version{Epoch: 1})
+		follower := NewSet(Version{})
+		names := []string{"a", "b", "c", "d"}
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			rev := source.Advance()
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			if rapid.Bool().Draw(t, "remove") {
+				source.Remove(Key{TypeCaller, name})
+			} else {
+				source.Put(&Caller{Meta: Meta{Name: name, Revision: rev}, Weight: int(rev)})
+			}
+			if rapid.Bool().Draw(t, "follow") {
+				follower = followed(t, source, follower)
+			}
+		}
+		if follower.Version() != source.Version() {
+			follower = followed(t, source, follower)
+		}
+		assert.DeepEqual(t, follower.objects, source.objects)
+	})
+}
+
+func followed(t *rapid.T, source, follower *Set) *Set {
+	d, err := source.Since(follower.Version())
+	assert.NilError(t, err)
+	next, err := follower.Apply(d)
+	assert.NilError(t, err)
+	return next
+}
+
+// Guards against a configuration that reverts.
+func TestApplyRefusesOlderVersions(t *testing.T) {
+	s := NewSet(Version{Epoch: 2, Revision: 5})
+	for _, to := range []Version{{2, 5}, {2, 4}, {1, 9}} {
+		_, err := s.Apply(Delta{Full: true, To: to})
+		assert.ErrorIs(t, err, ErrStale)
+	}
+	_, err := s.Apply(Delta{From: Version{2, 7}, To: Version{2, 8}})
+	assert.ErrorIs(t, err, ErrGap)
+}
+
+// Guards against a request served as another kind or by another service.
+func TestMatchPrefersTheMostSpecific(t *testing.T) {
+	s := NewSet(Version{Epoch: 1})
+	s.Advance()
+	for _, o := range []Object{
+		&Service{Meta: Meta{Name: "shop"}, Floor: 1},
+		&Service{Meta: Meta{Name: "pay"}, Floor: 1},
+		&Route{Meta: Meta{Name: "r1"}, Host: "*", PathPrefix: "/", Service: "shop"},
+		&Route{Meta: Meta{Name: "r2"}, Host: "Example.com", PathPrefix: "/pay", Service: "pay"},
+		&RequestKind{Meta: Meta{Name: "browse"}, Service: "shop", Method: "*", Path: "/*"},
+		&RequestKind{Meta: Meta{Name: "order"}, Service: "shop", Method: "POST", Path: "/orders"},
+	} {
+		s.Put(o)
+	}
+	c := Compile(s)
+	assert.Equal(t, c.Route("example.com:80", "/pay/1").Name, "pay")
+	assert.Equal(t, c.Route("example.com", "/payments").Name, "shop")
+	assert.Equal(t, c.Kind("shop", "POST", "/orders").Name, "order")
+	assert.Equal(t, c.Kind("shop", "GET", "/orders").Name, "browse")
+	assert.Assert(t, c.Kind("pay", "GET", "/") == nil)
+}
+
+// Guards against a fault that hides behind another one.
+func TestValidateListsEveryFault(t *testing.T) {
+	faults := Validate(&RequestKind{Meta: Meta{Name: "Bad Name"}, Method: "get", Path: "x", Rank: "r"})
+	fields := map[string]bool{}
+	for _, f := range faults {
+		fields[f.Field] = true
+	}
+	for _, want := range []string{"name", "service", "method", "path", "deadlineMs", "availabilityObjective"} {
+		assert.Assert(t, fields[want], "no fault for %s in %v", want, faults)
+	}
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+func addDuration(c *flaggy.Subcommand, p any, name, usage string) {
+	d, ok := p.(*time.Duration)
+	if !ok {
+		panic(fmt.Sprintf("settings: flag %s has type %T", name, p))
+	}
+	c.Duration(d, "", name, usage)
+}
+
+// Program describes a daemon or tool to its command line.
+type Program struct {
+	Name        string
+	Description string
+	Version     string
+}
+
+// Parse fills target from the environment and then from args, and checks it.
+// --help and --version print and end the process, as callers of a main expect.
+func Parse(p Program, target any, args []string) error {
+	// A fault in the environment must not hide the others.
+	envErr := FromEnv(target)
+	parser := flaggy.NewParser(p.Name)
+	parser.Description = p.Description
+	parser.Version = p.Version
+	AddFlags(&parser.Subcommand, target)
+	if err := parser.ParseArgs(args); err != nil {
+		return errors.Join(envErr, fmt.Errorf("settings: %w", err))
+	}
+	if len(parser.TrailingArguments) > 0 {
+		return fmt.Errorf("settings: unexpected argument %q", parser.TrailingArguments[0])
+	}
+	return errors.Join(envErr, Check(target))
+}
