--- /dev/null
+++ b/link/mux.go
@@ -0,0 +1,64 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// firstFrameTimeout bounds the wait for a stream's first frame.
+const firstFrameTimeout = 10 * time.Second
+
+// Handler serves one stream whose first frame has been read. It ends the
+// stream with Close or Reset. first.Payload is valid until the next ReadFrame.
+type Handler func(ctx context.Context, s Stream, first Frame)
+
+// Mux passes accepted streams to the handler of their first frame's type.
+type Mux struct {
+	log      *slog.Logger
+	handlers map[FrameType]Handler
+	active   sync.WaitGroup
+}
+
+// NewMux returns a mux without handlers.
+func NewMux(log *slog.Logger) *Mux { return &Mux{log: log, handlers: map[FrameType]Handler{}} }
+
+// Handle registers the handler of a frame type. It is called before Serve.
+func (m *Mux) Handle(t FrameType, h Handler) { m.handlers[t] = h }
+
+// Serve accepts streams from l until it is closed or ctx ends. Each handler
+// runs in its own goroutine, with ctx. Serve returns nil when l was closed.
+func (m *Mux) Serve(ctx context.Context, l Listener) error {
+	for {
+		s, err := l.Accept(ctx)
+		switch {
+		case errors.Is(err, ErrClosed), errors.Is(err, context.Canceled):
+			return nil
+		case err != nil:
+			return err
+		}
+		m.active.Go(func() { m.serveStream(ctx, s) })
+	}
+}
+
+// Wait returns when all handlers have returned.
+func (m *Mux) Wait() { m.active.Wait() }
+
+func (m *Mux) serveStream(ctx context.Context, s Stream) {
+	s.SetReadDeadline(time.Now().Add(firstFrameTimeout))
+	first, err := s.ReadFrame()
+	if err != nil {
+		s.Reset()
+		return
+	}
+	s.SetReadDeadline(time.Time{})
+	h := m.handlers[first.Type]
+	if h == nil {
+		m.log.Warn("stream begins with an unknown frame type", "type", first.Type, "peer", s.PeerName())
+		s.Reset()
+		return
+	}
+	h(ctx, s, first)
+}
--- a/resource/config.go
+++ b/resource/config.go
@@ -13,6 +13,7 @@
 	Kinds    map[string]*RequestKind
 	Ranks    map[string]*Rank
 	Callers  map[string]*Caller
+	Groups   map[string]*Group
 
 	// routes holds the routes of each host, the longest path prefix first.
 	routes map[string][]*Route
@@ -28,6 +29,7 @@
 		Kinds:    map[string]*RequestKind{},
 		Ranks:    map[string]*Rank{},
 		Callers:  map[string]*Caller{},
+		Groups:   map[string]*Group{},
 		routes:   map[string][]*Route{},
 		kinds:    map[string][]*RequestKind{},
 	}
@@ -55,6 +57,8 @@
 		c.Ranks[name] = o
 	case *Caller:
 		c.Callers[name] = o
+	case *Group:
+		c.Groups[name] = o
 	case *Route:
 		host := strings.ToLower(o.Host)
 		c.routes[host] = append(c.routes[host], o)
--- a/resource/object.go
+++ b/resource/object.go
@@ -2,7 +2,10 @@
 // validation, and the versioned configuration made of them. It does no I/O.
 package resource
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // Type names a type of resource, as in paths of the resource API.
 type Type string
@@ -14,11 +17,12 @@
 	TypeRank    Type = "ranks"
 	TypeRoute   Type = "routes"
 	TypeCaller  Type = "callers"
+	TypeGroup   Type = "groups"
 )
 
 // Types lists all types in the order in which they can be created without
 // dangling references.
-var Types = []Type{TypeRank, TypeService, TypeKind, TypeRoute, TypeCaller}
+var Types = []Type{TypeGroup, TypeRank, TypeService, TypeKind, TypeRoute, TypeCaller}
 
 // Key identifies a resource.
 type Key struct {
@@ -81,6 +85,11 @@
 	// Floor is the least number of healthy upstreams that ejection must leave
 	// in service.
 	Floor int `json:"floor" validate:"min=1,max=10000"`
+	// Group names the idempotency group that holds the service's claims and
+	// ejection permits. The control group sets it when the service is created
+	// and it never changes, since claims do not move between groups. Empty:
+	// requests that need a claim are refused.
+	Group string `json:"group,omitempty" validate:"omitempty,resourcename"`
 }
 
 // Type implements Object.
@@ -170,6 +179,37 @@
 // Clone implements Object.
 func (c *Caller) Clone() Object { d := *c; return &d }
 
+// Group is an idempotency group: replicas on nodes that hold claims and
+// ejection permits in memory.
+type Group struct {
+	Meta
+	// HomeRegion is the region of the majority of its replicas.
+	HomeRegion string `json:"homeRegion" validate:"required,resourcename"`
+	// Epoch grows when the group is replaced after the loss of a majority.
+	Epoch uint64 `json:"epoch" validate:"min=1"`
+	// Members are the replicas that start the group or join it. At most 5 vote.
+	Members []GroupMember `json:"members" validate:"max=7,dive"`
+}
+
+// GroupMember is one replica of a group.
+type GroupMember struct {
+	// Replica is unique in the group for all time. A node that lost its memory
+	// gets a new one.
+	Replica uint64 `json:"replica" validate:"min=1"`
+	Node    string `json:"node" validate:"required"`
+	// Incarnation is that of the node when it was assigned. A later one has
+	// lost the replica's memory.
+	Incarnation uint64 `json:"incarnation"`
+	// Joining replicas do not vote until the group has promoted them.
+	Joining bool `json:"joining,omitempty"`
+}
+
+// Type implements Object.
+func (*Group) Type() Type { return TypeGroup }
+
+// Clone implements Object.
+func (g *Group) Clone() Object { c := *g; c.Members = slices.Clone(g.Members); return &c }
+
 // New returns an empty object of type t, or nil if there is no such type.
 func New(t Type) Object {
 	switch t {
@@ -183,6 +223,8 @@
 		return &Route{}
 	case TypeCaller:
 		return &Caller{}
+	case TypeGroup:
+		return &Group{}
 	}
 	return nil
 }
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -94,6 +94,10 @@
 // References returns the keys that o refers to.
 func References(o Object) []Key {
 	switch o := o.(type) {
+	case *Service:
+		if o.Group != "" {
+			return []Key{{TypeGroup, o.Group}}
+		}
 	case *RequestKind:
 		return []Key{{TypeService, o.Service}, {TypeRank, o.Rank}}
 	case *Route:
