--- /dev/null
+++ b/announce/announce.go
@@ -0,0 +1,115 @@
+// Package announce receives the announcements of upstreams on their VM. There
+// is no list of upstreams: each one tells its node that it is there, under a
+// lease, and says when it drains.
+//
+//	PUT    /v1/upstreams/{id}   announce or renew; body: Announcement
+//	DELETE /v1/upstreams/{id}   the upstream is gone
+package announce
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// Limits of announcements.
+const (
+	maxBody        = 16 << 10 // bytes
+	minLease       = 300 * time.Millisecond
+	maxLease       = time.Minute
+	maxSlots       = 10_000
+	maxConnections = 100_000
+	maxWarmUp      = 10 * time.Minute
+	maxIDLength    = 128
+)
+
+// Announcement is what an upstream says of itself.
+type Announcement struct {
+	ID      fleet.UpstreamID `json:"-"`
+	Service string           `json:"service"`
+	Addr    string           `json:"addr"`  // IP:port of its HTTP server
+	Slots   int              `json:"slots"` // requests it runs at once
+	// Connections is how many connections it accepts.
+	Connections int `json:"connections"`
+	// LeaseMs is how long the announcement holds, in milliseconds. An upstream
+	// renews it three times within a lease.
+	LeaseMs int64 `json:"leaseMs"`
+	// Draining says that it wants no new work.
+	Draining bool `json:"draining"`
+	// WarmMs is the length of its cold start from its first announcement, in
+	// milliseconds.
+	WarmMs int64 `json:"warmMs"`
+}
+
+// Lease returns the lease of a.
+func (a *Announcement) Lease() time.Duration { return time.Duration(a.LeaseMs) * time.Millisecond }
+
+// WarmUp returns the length of the cold start.
+func (a *Announcement) WarmUp() time.Duration { return time.Duration(a.WarmMs) * time.Millisecond }
+
+// Validate returns every fault of a, joined.
+func (a *Announcement) Validate() error {
+	var faults []error
+	check := func(ok bool, field, format string, args ...any) {
+		if !ok {
+			faults = append(faults, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+		}
+	}
+	host, _, err := net.SplitHostPort(a.Addr)
+	check(a.ID != "" && len(a.ID) <= maxIDLength, "id", "must have 1 to %d characters", maxIDLength)
+	check(resource.ValidName(a.Service), "service", "%q is not a valid name", a.Service)
+	check(err == nil && net.ParseIP(host) != nil, "addr", "%q is not an IP address and port", a.Addr)
+	check(a.Slots >= 1 && a.Slots <= maxSlots, "slots", "%d is not between 1 and %d", a.Slots, maxSlots)
+	check(a.Connections >= 1 && a.Connections <= maxConnections, "connections", "%d is not between 1 and %d", a.Connections, maxConnections)
+	check(a.Lease() >= minLease && a.Lease() <= maxLease, "leaseMs", "%d is not between %d and %d", a.LeaseMs, minLease.Milliseconds(), maxLease.Milliseconds())
+	check(a.WarmMs >= 0 && a.WarmUp() <= maxWarmUp, "warmMs", "%d is not between 0 and %d", a.WarmMs, maxWarmUp.Milliseconds())
+	return errors.Join(faults...)
+}
+
+// Sink takes announcements that passed validation.
+type Sink interface {
+	Announce(Announcement)
+	Withdraw(fleet.UpstreamID)
+}
+
+// Granted is the answer to an announcement.
+type Granted struct {
+	LeaseMs int64 `json:"leaseMs"`
+}
+
+// Handler returns the HTTP handler of announcements.
+func Handler(sink Sink, log *slog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/upstreams/{id}", func(w http.ResponseWriter, r *http.Request) {
+		a := Announcement{ID: fleet.UpstreamID(r.PathValue("id"))}
+		body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+		body.DisallowUnknownFields()
+		if err := body.Decode(&a); err != nil {
+			refuse(w, log, a.ID, err)
+			return
+		}
+		if err := a.Validate(); err != nil {
+			refuse(w, log, a.ID, err)
+			return
+		}
+		sink.Announce(a)
+		json.NewEncoder(w).Encode(Granted{a.LeaseMs})
+	})
+	mux.HandleFunc("DELETE /v1/upstreams/{id}", func(w http.ResponseWriter, r *http.Request) {
+		sink.Withdraw(fleet.UpstreamID(r.PathValue("id")))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func refuse(w http.ResponseWriter, log *slog.Logger, id fleet.UpstreamID, err error) {
+	log.Warn("announcement refused", "upstream", id, "fault", err)
+	http.Error(w, err.Error(), http.StatusBadRequest)
+}
--- /dev/null
+++ b/board/state.go
@@ -0,0 +1,111 @@
+package board
+
+import (
+	"time"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// State is the control state of a node, in sections. Only the board's
+// goroutine touches it.
+type State struct {
+	// Self is the node as it announces itself to the fleet.
+	Self fleet.Node
+	// Leaving is set by a planned stop.
+	Leaving bool
+	// Config is the configuration in force, or nil.
+	Config *resource.Config
+	// Nodes holds the other nodes that membership knows of.
+	Nodes map[fleet.NodeID]fleet.Node
+	// Local holds the upstreams of this VM.
+	Local map[fleet.UpstreamID]*LocalUpstream
+
+	// changed collects the services whose upstreams changed since the last
+	// publication.
+	changed map[string]bool
+	// actions collects what controllers ask for while one event is handled.
+	actions []Action
+}
+
+// LocalUpstream is an upstream of this VM.
+type LocalUpstream struct {
+	announce.Announcement
+	FirstSeen time.Time
+	LeaseEnds time.Time
+	Suspect   bool
+	Ejected   bool
+}
+
+// State returns what the fleet is told of the upstream at now.
+func (u *LocalUpstream) State(now time.Time) fleet.UpstreamState {
+	switch {
+	case u.Draining:
+		return fleet.UpstreamDraining
+	case now.Before(u.WarmUntil()):
+		return fleet.UpstreamWarming
+	default:
+		return fleet.UpstreamReady
+	}
+}
+
+// WarmUntil returns the end of its cold start.
+func (u *LocalUpstream) WarmUntil() time.Time { return u.FirstSeen.Add(u.WarmUp()) }
+
+// TouchService marks a service's upstreams as changed.
+func (s *State) TouchService(service string) { s.changed[service] = true }
+
+// Do asks for an action once the event has been handled by all controllers.
+func (s *State) Do(a Action) { s.actions = append(s.actions, a) }
+
+// Event is something that happened, as posted to the board.
+type Event interface{ isEvent() }
+
+// Events.
+type (
+	// Tick comes at a regular interval.
+	Tick struct{}
+	// ConfigChanged brings a newer configuration.
+	ConfigChanged struct{ Config *resource.Config }
+	// NodeChanged brings news of another node.
+	NodeChanged struct{ Node fleet.Node }
+	// Announced brings an upstream's announcement.
+	Announced struct{ Announcement announce.Announcement }
+	// Withdrawn says that an upstream has gone.
+	Withdrawn struct{ ID fleet.UpstreamID }
+	// Judged brings a verdict on an upstream of this VM.
+	Judged struct {
+		ID      fleet.UpstreamID
+		Suspect bool
+		Ejected bool
+	}
+	// LeaveRequested begins a planned stop.
+	LeaveRequested struct{}
+)
+
+func (Tick) isEvent()           {}
+func (ConfigChanged) isEvent()  {}
+func (NodeChanged) isEvent()    {}
+func (Announced) isEvent()      {}
+func (Withdrawn) isEvent()      {}
+func (Judged) isEvent()         {}
+func (LeaveRequested) isEvent() {}
+
+// Action is something that a controller wants done outside the board.
+type Action interface{ isAction() }
+
+// Actions.
+type (
+	// PublishSelf gives Node to membership.
+	PublishSelf struct{ Node fleet.Node }
+	// DropUpstream tells the dispatcher that an upstream's lease has ended.
+	DropUpstream struct{ ID fleet.UpstreamID }
+)
+
+func (PublishSelf) isAction()  {}
+func (DropUpstream) isAction() {}
+
+// Controller reacts to events by changing the state and asking for actions.
+// It is a pure function of its arguments.
+type Controller func(s *State, e Event, now time.Time)
--- /dev/null
+++ b/board/view.go
@@ -0,0 +1,82 @@
+package board
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// View is what traffic reads: an immutable picture of the board.
+type View struct {
+	Self    fleet.Node
+	Leaving bool
+	// Config is nil until the node has a configuration.
+	Config *resource.Config
+	// Upstreams holds the usable upstreams of each service, by ID.
+	Upstreams map[string][]Upstream
+	// Nodes holds the usable nodes other than Self, by ID.
+	Nodes []fleet.Node
+}
+
+// Upstream is an upstream with where it is.
+type Upstream struct {
+	fleet.Upstream
+	Node          fleet.NodeID
+	LinkAddr      string
+	Region        string
+	FailureDomain string
+}
+
+// Warming reports whether the upstream is in its cold start at now.
+func (u *Upstream) Warming(now time.Time) bool { return now.Before(u.WarmUntil) }
+
+// next returns the view of s. It returns v itself if nothing changed, and
+// shares with v the lists of services that did not change.
+func (v *View) next(s *State) *View {
+	if len(s.changed) == 0 && v.Config == s.Config && v.Leaving == s.Leaving {
+		return v
+	}
+	n := &View{Self: s.Self, Leaving: s.Leaving, Config: s.Config, Upstreams: v.Upstreams, Nodes: v.Nodes}
+	if len(s.changed) == 0 {
+		return n
+	}
+	n.Upstreams = maps.Clone(v.Upstreams)
+	if n.Upstreams == nil {
+		n.Upstreams = map[string][]Upstream{}
+	}
+	for service := range s.changed {
+		delete(n.Upstreams, service)
+	}
+	n.addNode(s, &s.Self)
+	n.Nodes = make([]fleet.Node, 0, len(s.Nodes))
+	for _, node := range s.Nodes {
+		if node.Usable() {
+			n.Nodes = append(n.Nodes, node)
+			n.addNode(s, &node)
+		}
+	}
+	slices.SortFunc(n.Nodes, func(a, b fleet.Node) int { return cmp.Compare(a.ID, b.ID) })
+	for service := range s.changed {
+		slices.SortFunc(n.Upstreams[service], func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return n
+}
+
+func (v *View) addNode(s *State, node *fleet.Node) {
+	for _, u := range node.Upstreams {
+		if !s.changed[u.Service] || u.State == fleet.UpstreamGone {
+			continue
+		}
+		v.Upstreams[u.Service] = append(v.Upstreams[u.Service], Upstream{
+			Upstream:      u,
+			Node:          node.ID,
+			LinkAddr:      node.LinkAddr,
+			Region:        node.Region,
+			FailureDomain: node.FailureDomain,
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,201 @@
+// Package dispatch runs attempts at the upstreams of this VM. It is the only
+// part that talks to them, so it alone owns their slots, connections, queues
+// and drains, and it alone knows whether an attempt was started.
+package dispatch
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Config holds what a Dispatcher needs. All fields but Claims are required.
+type Config struct {
+	Log *slog.Logger
+	// Dialer opens streams to other dispatchers, for relays.
+	Dialer link.Dialer
+	// Configuration returns the configuration in force, or nil.
+	Configuration func() *resource.Config
+	// Observe takes evidence on upstreams. It must not block.
+	Observe func(Observation)
+	// Claims holds idempotency keys. Nil: requests that need a claim are refused.
+	Claims Claims
+	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
+	Crashes Crashes
+}
+
+// Crashes keeps account of requests in flight when an upstream crashes.
+type Crashes interface {
+	// Refused reports whether a request with this fingerprint is refused.
+	Refused(fingerprint uint64) bool
+	// Crashed reports the requests in flight at a crash of an upstream.
+	Crashed(upstream fleet.UpstreamID, inFlight []uint64)
+}
+
+// Result is how an upstream dealt with one attempt.
+type Result uint8
+
+// Results.
+const (
+	ResultOK      Result = iota
+	ResultError          // answered with status 500 or above
+	ResultTimeout        // no answer by the deadline
+	ResultBroken         // connection lost, or answer short or crossed
+	ResultRefused        // shed or not connected; it did not run
+)
+
+// Observation is evidence from one attempt.
+type Observation struct {
+	Upstream fleet.UpstreamID
+	Service  string
+	Kind     string
+	Result   Result
+	// Latency is the time at the upstream, without queueing.
+	Latency time.Duration
+	At      time.Time
+	// Fingerprint identifies the request's content, see wire.AttemptHead.
+	Fingerprint uint64
+}
+
+// Dispatcher serves attempts. Its methods are safe for concurrent use.
+type Dispatcher struct {
+	cfg      Config
+	log      *slog.Logger
+	attempts *registry
+
+	mu        sync.RWMutex
+	upstreams map[fleet.UpstreamID]*upstream
+	leaving   bool
+	ranks     []rankShare
+	ranksFrom *resource.Config
+
+	active sync.WaitGroup
+	stats  stats
+}
+
+type stats struct {
+	attempts, duplicates, relayed, answered, notRun, unknown expvar.Int
+}
+
+// New returns a dispatcher without upstreams.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:       cfg,
+		log:       cfg.Log,
+		attempts:  newRegistry(),
+		upstreams: map[fleet.UpstreamID]*upstream{},
+	}
+}
+
+// Register adds the dispatcher's handlers to m.
+func (d *Dispatcher) Register(m *link.Mux) {
+	m.Handle(wire.FrameAttempt, d.serveAttempt)
+	m.Handle(wire.FrameRelay, d.serveRelay)
+}
+
+// Announce adds or updates an upstream. Once it drains, attempts that come or
+// wait in its queue are refused.
+func (d *Dispatcher) Announce(a announce.Announcement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.upstreams[a.ID]
+	if u != nil && (u.service != a.Service || u.addr != a.Addr) {
+		u.close()
+		u = nil
+	}
+	if u == nil {
+		u = newUpstream(a, time.Now())
+		d.upstreams[a.ID] = u
+		u.setRanks(d.ranks)
+		d.log.Info("upstream joined", "upstream", a.ID, "service", a.Service, "addr", a.Addr, "slots", a.Slots)
+	}
+	u.update(a)
+}
+
+// Withdraw removes an upstream. Attempts that run at it go on; attempts in its
+// queue are refused.
+func (d *Dispatcher) Withdraw(id fleet.UpstreamID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u := d.upstreams[id]
+	if u == nil {
+		return
+	}
+	delete(d.upstreams, id)
+	u.close()
+	d.log.Info("upstream left", "upstream", id)
+}
+
+// Leave refuses new attempts from now on and waits until those in hand have
+// ended, or ctx ends.
+func (d *Dispatcher) Leave(ctx context.Context) error {
+	d.mu.Lock()
+	d.leaving = true
+	d.mu.Unlock()
+	done := make(chan struct{})
+	go func() { d.active.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// begin finds the upstream of an attempt and counts the attempt as active
+// until the returned function is called. A nil upstream is not registered here.
+func (d *Dispatcher) begin(id fleet.UpstreamID) (u *upstream, leaving bool, end func()) {
+	d.refreshRanks()
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.leaving {
+		return nil, true, func() {}
+	}
+	d.active.Add(1)
+	return d.upstreams[id], false, d.active.Done
+}
+
+// Metrics returns the dispatcher's counters for expvar.
+func (d *Dispatcher) Metrics() *expvar.Map {
+	m := new(expvar.Map).Init()
+	for name, v := range map[string]*expvar.Int{
+		"attempts":   &d.stats.attempts,
+		"duplicates": &d.stats.duplicates,
+		"relayed":    &d.stats.relayed,
+		"answered":   &d.stats.answered,
+		"not_run":    &d.stats.notRun,
+		"unknown":    &d.stats.unknown,
+	} {
+		m.Set(name, v)
+	}
+	m.Set("upstreams", expvar.Func(func() any { return d.describe() }))
+	return m
+}
+
+// UpstreamStatus is the state of one upstream of this VM.
+type UpstreamStatus struct {
+	ID       fleet.UpstreamID `json:"id"`
+	Service  string           `json:"service"`
+	Draining bool             `json:"draining"`
+	InUse    int              `json:"inUse"`
+	Slots    int              `json:"slots"`
+	Queued   int              `json:"queued"`
+}
+
+func (d *Dispatcher) describe() []UpstreamStatus {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	out := make([]UpstreamStatus, 0, len(d.upstreams))
+	for _, u := range d.upstreams {
+		out = append(out, u.status())
+	}
+	return out
+}
--- /dev/null
+++ b/dispatch/registry.go
@@ -0,0 +1,178 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+const (
+	// rememberAttempts is how long the id of an ended attempt is kept. An
+	// ingress resends within a few round trips, and never after the deadline.
+	rememberAttempts = 60 * time.Second
+	// maxReplay is the largest body kept for a resend, in bytes.
+	maxReplay = 64 << 10
+	// maxReplayTotal bounds all kept bodies of a node, in bytes.
+	maxReplayTotal = 8 << 20
+)
+
+// attempt is one attempt that came to this dispatcher, with its answer once it
+// has ended. The same attempt may come over several streams, when an ingress
+// takes a connection for silent; it runs once.
+type attempt struct {
+	id string
+	// done is closed when the attempt has ended.
+	done chan struct{}
+	// ctx ends with the deadline, or when no stream is attached any more.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	attached int
+	started  bool
+	ended    bool
+	head     *wire.AnswerHead
+	body     []byte
+	// bodyGone says that the body was too large to keep.
+	bodyGone bool
+	end      wire.AnswerEnd
+}
+
+// start reports whether the calling stream is the first to have brought the
+// whole request, and has to run the attempt.
+func (a *attempt) start() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.started || a.ended {
+		return false
+	}
+	a.started = true
+	return true
+}
+
+func (a *attempt) keepHead(h *wire.AnswerHead) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.head = h
+}
+
+func (a *attempt) keepBody(b []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.bodyGone {
+		return
+	}
+	if len(a.body)+len(b) > maxReplay {
+		a.bodyGone, a.body = true, nil
+		return
+	}
+	a.body = append(a.body, b...)
+}
+
+// dropBody frees the kept body and returns its size.
+func (a *attempt) dropBody() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := len(a.body)
+	if n > 0 {
+		a.body, a.bodyGone = nil, true
+	}
+	return n
+}
+
+// registry remembers recent attempts by id, so that none runs twice.
+type registry struct {
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	// ended holds the ended attempts, the oldest first, from index first on.
+	ended []endedAttempt
+	first int
+	// dropped is the index below which bodies have been dropped.
+	dropped int
+	kept    int // bytes of kept bodies
+}
+
+type endedAttempt struct {
+	a  *attempt
+	at time.Time
+}
+
+func newRegistry() *registry { return &registry{attempts: map[string]*attempt{}} }
+
+// attach returns the attempt called id, which it adds if it is new, and counts
+// a stream that waits for it.
+func (r *registry) attach(id string, deadline time.Time) (a *attempt, isNew bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(time.Now())
+	a = r.attempts[id]
+	if a == nil {
+		a = &attempt{id: id, done: make(chan struct{})}
+		a.ctx, a.cancel = context.WithDeadline(context.Background(), deadline)
+		r.attempts[id] = a
+		isNew = true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attached++
+	return a, isNew
+}
+
+// detach is called when a stream was lost. Once none is left the attempt is
+// cancelled, and has ended if it had not started.
+func (r *registry) detach(a *attempt) {
+	a.mu.Lock()
+	a.attached--
+	last := a.attached == 0
+	abandoned := last && !a.started && !a.ended
+	if abandoned {
+		a.started = true
+	}
+	a.mu.Unlock()
+	if last {
+		a.cancel()
+	}
+	if abandoned {
+		r.finish(a, wire.AnswerEnd{Outcome: outcome.NotRun, Reason: outcome.ReasonCanceled})
+	}
+}
+
+// finish records how a ended and wakes those that wait for it.
+func (r *registry) finish(a *attempt, end wire.AnswerEnd) {
+	a.mu.Lock()
+	a.end = end
+	a.ended = true
+	size := len(a.body)
+	a.mu.Unlock()
+	a.cancel()
+	close(a.done)
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = append(r.ended, endedAttempt{a, time.Now()})
+	r.kept += size
+	r.dropped = max(r.dropped, r.first)
+	for r.kept > maxReplayTotal && r.dropped < len(r.ended) {
+		r.kept -= r.ended[r.dropped].a.dropBody()
+		r.dropped++
+	}
+}
+
+// expire forgets attempts that ended long ago. r.mu is held.
+func (r *registry) expire(now time.Time) {
+	for r.first < len(r.ended) && now.Sub(r.ended[r.first].at) > rememberAttempts {
+		e := &r.ended[r.first]
+		r.kept -= e.a.dropBody()
+		delete(r.attempts, e.a.id)
+		*e = endedAttempt{}
+		r.first++
+	}
+	if r.first > len(r.ended)/2 {
+		r.dropped = max(0, r.dropped-r.first)
+		r.ended = append([]endedAttempt(nil), r.ended[r.first:]...)
+		r.first = 0
+	}
+}
--- /dev/null
+++ b/dispatch/run.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/godwithub/godwithub/admission"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Headers between the dispatcher and upstreams.
+const (
+	HeaderRequestID  = "Godwithub-Request-Id"
+	HeaderDeadlineMs = "Godwithub-Deadline-Ms" // milliseconds left to the deadline
+	// HeaderNotRun in an upstream's answer says that it refused the request
+	// before running it, and why.
+	HeaderNotRun = "Godwithub-Not-Run"
+)
+
+// copyBuffer is the size of a buffer for answer bodies, in bytes.
+const copyBuffer = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+func newTransport(maxConns int) *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     maxConns,
+		MaxIdleConnsPerHost: maxConns,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// run takes an attempt through admission, claim and the upstream, and writes
+// the answer to w.
+func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body []byte, c *claim, w *answerWriter) wire.AnswerEnd {
+	u, leaving, done := d.begin(fleet.UpstreamID(head.Upstream))
+	defer done()
+	switch {
+	case leaving:
+		c.abandon()
+		return ended(nil, outcome.HasNotRun(outcome.ReasonDraining))
+	case u == nil:
+		c.abandon()
+		return ended(nil, outcome.HasNotRun(outcome.ReasonUpstreamGone))
+	case d.cfg.Crashes != nil && d.cfg.Crashes.Refused(head.Fingerprint):
+		c.abandon()
+		return ended(u, outcome.HasNotRun(outcome.ReasonCrashing))
+	}
+	ticket, e, ok := u.acquire(a.ctx, d.ticket(a, head))
+	if !ok {
+		c.abandon()
+		return ended(u, e)
+	}
+	if replay, e, ok := c.wait(a.ctx); !ok {
+		u.release(ticket, 0)
+		if replay != nil {
+			replay.write(w)
+		}
+		return ended(u, e)
+	}
+	if !u.start(ticket, head.Fingerprint) {
+		u.release(ticket, 0)
+		c.abandon()
+		return ended(u, outcome.HasNotRun(outcome.ReasonDraining))
+	}
+	began := time.Now()
+	e, result := d.exchange(a, u, head, body, c, w)
+	service := time.Since(began)
+	if result == ResultBroken && d.cfg.Crashes != nil {
+		d.checkCrash(u)
+	}
+	u.release(ticket, max(service, 1))
+	c.finish(e, a)
+	d.cfg.Observe(Observation{u.id, u.service, head.Kind, result, service, began, head.Fingerprint})
+	return ended(u, e)
+}
+
+func ended(u *upstream, e outcome.Ended) wire.AnswerEnd {
+	end := wire.AnswerEnd{Outcome: e.Outcome, Reason: e.Reason}
+	if u != nil {
+		end.Load = u.load()
+	}
+	return end
+}
+
+func (d *Dispatcher) kind(head *wire.AttemptHead) *resource.RequestKind {
+	if c := d.cfg.Configuration(); c != nil {
+		return c.Kinds[head.Kind]
+	}
+	return nil
+}
+
+// ticket describes the attempt to the queue. A kind that this node does not
+// know yet gets the least urgent level.
+func (d *Dispatcher) ticket(a *attempt, head *wire.AttemptHead) admission.Ticket {
+	deadline, _ := a.ctx.Deadline()
+	t := admission.Ticket{Level: leastUrgent, Caller: head.Caller, Weight: 1, Deadline: deadline, Retry: head.Retry}
+	c, k := d.cfg.Configuration(), d.kind(head)
+	if k == nil {
+		return t
+	}
+	if r := c.Ranks[k.Rank]; r != nil {
+		t.Level = r.Level
+	}
+	if caller := c.Callers[head.Caller]; caller != nil {
+		t.Weight = caller.Weight
+	}
+	return t
+}
+
+// leastUrgent is the level of work whose rank is not known.
+const leastUrgent = 31
+
+// exchange sends the request to the upstream and passes the answer on.
+func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body []byte, c *claim, w *answerWriter) (outcome.Ended, Result) {
+	ctx := a.ctx
+	if !head.Idempotent {
+		// A request that may not run twice is not cut off half-way when its
+		// caller goes away: its outcome would be unknown for good.
+		deadline, _ := ctx.Deadline()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+	}
+	req, sent := newRequest(ctx, u, head, body)
+	resp, err := u.client.RoundTrip(req)
+	if err != nil {
+		return classify(ctx, err, sent.Load())
+	}
+	defer resp.Body.Close()
+	if reason := resp.Header.Get(HeaderNotRun); reason != "" && resp.StatusCode == http.StatusServiceUnavailable {
+		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
+	}
+	if echoed := resp.Header.Get(HeaderRequestID); echoed != "" && echoed != head.RequestID {
+		d.log.Error("upstream answered another request", "upstream", u.id, "sent", head.RequestID, "got", echoed)
+		return outcome.MayHaveRun(outcome.ReasonShortAnswer), ResultBroken
+	}
+	w.head(&wire.AnswerHead{
+		RequestID: head.RequestID,
+		Status:    resp.StatusCode,
+		Headers:   EndToEnd(resp.Header),
+		BodyBytes: resp.ContentLength,
+	})
+	if err := copyBody(w, resp.Body); err != nil {
+		e, result := classify(ctx, err, true)
+		if e.Reason == outcome.ReasonLostUpstream {
+			e.Reason = outcome.ReasonShortAnswer
+		}
+		return e, result
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return outcome.Ended{Outcome: outcome.Answered}, ResultError
+	}
+	return outcome.Ended{Outcome: outcome.Answered}, ResultOK
+}
+
+// classify tells how an exchange failed. sent says that a connection was there,
+// so that the upstream may have received the request.
+func classify(ctx context.Context, err error, sent bool) (outcome.Ended, Result) {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	gone := errors.Is(ctx.Err(), context.Canceled)
+	switch {
+	case !sent && late:
+		return outcome.HasNotRun(outcome.ReasonDeadline), ResultRefused
+	case !sent && gone:
+		return outcome.HasNotRun(outcome.ReasonCanceled), ResultRefused
+	case !sent:
+		return outcome.HasNotRun(outcome.ReasonConnect), ResultRefused
+	case late:
+		return outcome.MayHaveRun(outcome.ReasonLateAnswer), ResultTimeout
+	case gone:
+		return outcome.MayHaveRun(outcome.ReasonCanceled), ResultRefused
+	default:
+		return outcome.MayHaveRun(outcome.ReasonLostUpstream), ResultBroken
+	}
+}
+
+// opaqueBody hides the type of a body from net/http, which otherwise sends a
+// request again on its own when a kept connection breaks.
+type opaqueBody struct{ io.Reader }
+
+func (opaqueBody) Close() error { return nil }
+
+func newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) (*http.Request, *atomic.Bool) {
+	sent := new(atomic.Bool)
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req := &http.Request{
+		Method:        head.Method,
+		URL:           head.URL(u.addr),
+		Host:          head.Host,
+		Header:        make(http.Header, len(head.Headers)+2),
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		ContentLength: int64(len(body)),
+	}
+	if len(body) > 0 || !head.Idempotent {
+		req.Body = opaqueBody{bytes.NewReader(body)}
+	}
+	for _, h := range head.Headers {
+		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
+	}
+	deadline, _ := ctx.Deadline()
+	req.Header.Set(HeaderRequestID, head.RequestID)
+	req.Header.Set(HeaderDeadlineMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	return req.WithContext(httptrace.WithClientTrace(ctx, trace)), sent
+}
+
+// copyBody passes the body on. The last bytes are queued rather than sent, to
+// leave with the end of the answer.
+func copyBody(w *answerWriter, body io.Reader) error {
+	buf := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buf)
+	pending := 0
+	for {
+		n, err := body.Read(buf[pending:])
+		pending += n
+		switch {
+		case errors.Is(err, io.EOF):
+			w.last(buf[:pending])
+			return nil
+		case err != nil:
+			return err
+		}
+		w.data(buf[:pending])
+		pending = 0
+	}
+}
--- /dev/null
+++ b/dispatch/serve.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// MaxBody is the largest request body, in bytes.
+const MaxBody = 1 << 20
+
+// serveAttempt serves one stream of an attempt. It acknowledges at once, so
+// that the ingress can tell trouble on the path from a slow upstream.
+func (d *Dispatcher) serveAttempt(_ context.Context, s link.Stream, first link.Frame) {
+	head := new(wire.AttemptHead)
+	if err := decodeHead(first.Payload, head); err != nil {
+		d.log.Warn("attempt refused", "peer", s.PeerName(), "fault", err)
+		s.Reset()
+		return
+	}
+	deadline := time.Now().Add(head.Remaining())
+	if err := s.WriteFrame(wire.FrameAck, nil); err != nil {
+		s.Reset()
+		return
+	}
+	d.stats.attempts.Add(1)
+	a, isNew := d.attempts.attach(head.AttemptID, deadline)
+	var claim *claim
+	if isNew {
+		claim = d.beginClaim(a, head)
+	} else {
+		d.stats.duplicates.Add(1)
+	}
+	body, err := readBody(s, head, deadline)
+	if err != nil {
+		d.attempts.detach(a)
+		claim.abandon()
+		s.Reset()
+		return
+	}
+	if !a.start() {
+		d.serveDuplicate(a, s, head)
+		return
+	}
+	w := newAnswerWriter(s, a, head)
+	stop := d.watch(a, s)
+	end := d.run(a, head, body, claim, w)
+	d.attempts.finish(a, end)
+	stop()
+	d.count(end.Outcome)
+	w.finish(end)
+}
+
+func decodeHead(payload []byte, head *wire.AttemptHead) error {
+	if err := wire.Decode(payload, head); err != nil {
+		return err
+	}
+	switch {
+	case head.AttemptID == "", head.RequestID == "":
+		return errors.New("dispatch: attempt without an id")
+	case head.RemainingMs <= 0:
+		return errors.New("dispatch: attempt after its deadline")
+	case head.BodyBytes < 0 || head.BodyBytes > MaxBody:
+		return fmt.Errorf("dispatch: body of %d bytes", head.BodyBytes)
+	}
+	return nil
+}
+
+// readBody reads the request body up to FrameEnd. Without that frame the
+// attempt is never run.
+func readBody(s link.Stream, head *wire.AttemptHead, deadline time.Time) ([]byte, error) {
+	s.SetReadDeadline(deadline)
+	defer s.SetReadDeadline(time.Time{})
+	body := make([]byte, 0, head.BodyBytes)
+	for {
+		f, err := s.ReadFrame()
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case f.Type == wire.FrameEnd && int64(len(body)) == head.BodyBytes:
+			return body, nil
+		case f.Type == wire.FrameData && int64(len(body)+len(f.Payload)) <= head.BodyBytes:
+			body = append(body, f.Payload...)
+		default:
+			return nil, &wire.UnexpectedFrameError{Got: f.Type, Want: wire.FrameData}
+		}
+	}
+}
+
+// watch detaches the stream from a if it breaks while the attempt runs. The
+// returned function ends the watch; the stream can then be read again.
+func (d *Dispatcher) watch(a *attempt, s link.Stream) (stop func()) {
+	stopped := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.ReadFrame()
+		select {
+		case <-stopped:
+		default:
+			d.attempts.detach(a)
+		}
+	}()
+	return func() {
+		close(stopped)
+		s.SetReadDeadline(time.Now())
+		<-done
+	}
+}
+
+// serveDuplicate waits for an attempt that another stream runs, and repeats its
+// answer.
+func (d *Dispatcher) serveDuplicate(a *attempt, s link.Stream, head *wire.AttemptHead) {
+	stop := d.watch(a, s)
+	<-a.done
+	stop()
+	w := newAnswerWriter(s, nil, head)
+	end := a.end
+	switch {
+	case end.Outcome != outcome.Answered:
+	case a.bodyGone:
+		end = wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerGone}
+	default:
+		w.head(a.head)
+		w.data(a.body)
+	}
+	w.finish(end)
+}
+
+func (d *Dispatcher) count(o outcome.Outcome) {
+	switch o {
+	case outcome.Answered:
+		d.stats.answered.Add(1)
+	case outcome.NotRun:
+		d.stats.notRun.Add(1)
+	default:
+		d.stats.unknown.Add(1)
+	}
+}
+
+// answerWriter sends an answer on a stream. After the first failure it only
+// keeps the answer for a resend.
+type answerWriter struct {
+	s         link.Stream
+	keep      *attempt // nil: keep nothing
+	requestID string
+	sent      int64
+	err       error
+}
+
+func newAnswerWriter(s link.Stream, keep *attempt, head *wire.AttemptHead) *answerWriter {
+	return &answerWriter{s: s, keep: keep, requestID: head.RequestID}
+}
+
+// head queues the head; it leaves with the first data or the end.
+func (w *answerWriter) head(h *wire.AnswerHead) {
+	if w.keep != nil {
+		w.keep.keepHead(h)
+	}
+	if w.err != nil {
+		return
+	}
+	b, err := wire.Encode(h)
+	if err != nil {
+		w.err = err
+		return
+	}
+	w.err = w.s.BufferFrame(wire.FrameAnswer, b)
+}
+
+func (w *answerWriter) data(b []byte) {
+	if w.keep != nil {
+		w.keep.keepBody(b)
+	}
+	if w.err != nil {
+		return
+	}
+	w.err = wire.WriteChunks(w.s, wire.FrameData, b)
+	w.sent += int64(len(b))
+}
+
+// last queues the last bytes of a body, so that they leave in
+// one packet with the end.
+func (w *answerWriter) last(b []byte) {
+	if w.err != nil || len(b) == 0 || len(b) > link.MaxPayload {
+		w.data(b)
+		return
+	}
+	if w.keep != nil {
+		w.keep.keepBody(b)
+	}
+	w.err = w.s.BufferFrame(wire.FrameData, b)
+	w.sent += int64(len(b))
+}
+
+func (w *answerWriter) finish(end wire.AnswerEnd) {
+	end.RequestID = w.requestID
+	end.BodyBytes = w.sent
+	if w.err == nil {
+		w.err = wire.Write(w.s, wire.FrameAnswerEnd, &end)
+	}
+	if w.err != nil {
+		w.s.Reset()
+		return
+	}
+	w.s.Close()
+}
--- /dev/null
+++ b/dispatch/upstream.go
@@ -0,0 +1,277 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/admission"
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+const (
+	// idleConnTimeout closes connections to an upstream that carry nothing. An
+	// idle connection that has gone silent cannot be told from a good one, so
+	// they are not kept long.
+	idleConnTimeout = 15 * time.Second
+	// connectTimeout bounds a new connection to an upstream on this VM.
+	connectTimeout = time.Second
+)
+
+type rankShare = admission.RankShare
+
+// upstream is one upstream with its slots and its queue.
+type upstream struct {
+	id      fleet.UpstreamID
+	service string
+	addr    string
+	client  *http.Transport
+
+	mu       sync.Mutex
+	slots    int
+	inUse    int
+	draining bool
+	closed   bool
+	suspect  bool
+	queue    *admission.Queue
+	waiting  map[uint64]chan outcome.Ended
+	nextID   uint64
+	// running holds the fingerprints of the requests at the upstream.
+	running map[uint64]uint64
+}
+
+func newUpstream(a announce.Announcement, now time.Time) *upstream {
+	u := &upstream{
+		id:      a.ID,
+		service: a.Service,
+		addr:    a.Addr,
+		queue:   admission.NewQueue(a.Slots),
+		waiting: map[uint64]chan outcome.Ended{},
+		running: map[uint64]uint64{},
+	}
+	// A connection that is being closed still counts for a moment, so there are
+	// more connections than slots, as far as the upstream allows.
+	u.client = newTransport(min(2*a.Slots, a.Connections))
+	return u
+}
+
+func (u *upstream) update(a announce.Announcement) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slots = min(a.Slots, a.Connections)
+	u.queue.SetSlots(u.slots)
+	u.draining = a.Draining
+	if u.draining {
+		u.refuseQueue(outcome.ReasonDraining)
+	}
+}
+
+func (u *upstream) setRanks(ranks []rankShare) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.queue.SetRanks(ranks)
+}
+
+// close refuses the queue. Running requests go on.
+func (u *upstream) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closed = true
+	u.refuseQueue(outcome.ReasonUpstreamGone)
+	u.client.CloseIdleConnections()
+}
+
+// refuseQueue refuses all waiting attempts. u.mu is held.
+func (u *upstream) refuseQueue(reason outcome.Reason) {
+	for id := range u.waiting {
+		u.queue.Remove(id)
+		u.wake(id, outcome.HasNotRun(reason))
+	}
+}
+
+// wake ends the wait of a ticket. An Answered outcome stands for a slot. u.mu is held.
+func (u *upstream) wake(id uint64, e outcome.Ended) {
+	if ch := u.waiting[id]; ch != nil {
+		delete(u.waiting, id)
+		ch <- e
+	}
+}
+
+var slotGranted = outcome.Ended{Outcome: outcome.Answered}
+
+// acquire waits for a slot. It returns the ticket to release, or how the
+// attempt ended without one.
+func (u *upstream) acquire(ctx context.Context, t admission.Ticket) (admission.Ticket, outcome.Ended, bool) {
+	ch, t, ended, ok := u.offer(t)
+	if !ok {
+		return t, ended, false
+	}
+	select {
+	case ended = <-ch:
+	case <-ctx.Done():
+		ended = u.giveUp(t.ID, ch, ctx)
+	}
+	return t, ended, ended == slotGranted
+}
+
+func (u *upstream) offer(t admission.Ticket) (chan outcome.Ended, admission.Ticket, outcome.Ended, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.draining {
+		return nil, t, outcome.HasNotRun(outcome.ReasonDraining), false
+	}
+	if u.closed {
+		return nil, t, outcome.HasNotRun(outcome.ReasonUpstreamGone), false
+	}
+	u.nextID++
+	t.ID = u.nextID
+	now := time.Now()
+	ok, reason, evicted := u.queue.Offer(now, t)
+	for _, e := range evicted {
+		u.wake(e.ID, outcome.HasNotRun(outcome.ReasonShed))
+	}
+	if !ok {
+		return nil, t, outcome.HasNotRun(reason), false
+	}
+	ch := make(chan outcome.Ended, 1)
+	u.waiting[t.ID] = ch
+	u.fill(now)
+	return ch, t, outcome.Ended{}, true
+}
+
+// fill hands free slots to the queue. u.mu is held.
+func (u *upstream) fill(now time.Time) {
+	for u.inUse < u.slots {
+		t, expired, ok := u.queue.Next(now)
+		for _, e := range expired {
+			u.wake(e.ID, outcome.HasNotRun(outcome.ReasonDeadline))
+		}
+		if !ok {
+			return
+		}
+		u.inUse++
+		u.wake(t.ID, slotGranted)
+	}
+}
+
+// giveUp withdraws a ticket whose context ended. A slot that was granted in
+// the meantime is kept by the caller.
+func (u *upstream) giveUp(id uint64, ch chan outcome.Ended, ctx context.Context) outcome.Ended {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	select {
+	case ended := <-ch:
+		return ended
+	default:
+	}
+	u.queue.Remove(id)
+	delete(u.waiting, id)
+	if ctx.Err() == context.DeadlineExceeded {
+		return outcome.HasNotRun(outcome.ReasonDeadline)
+	}
+	return outcome.HasNotRun(outcome.ReasonCanceled)
+}
+
+// release gives a slot back. service is the time at the upstream, or 0 if the
+// attempt did not run.
+func (u *upstream) release(t admission.Ticket, service time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	u.inUse--
+	delete(u.running, t.ID)
+	if service > 0 {
+		u.queue.Done(now, t, service)
+	}
+	u.fill(now)
+}
+
+// start notes that a request is about to be sent. It reports false if the
+// upstream began to drain while the request waited for its claim.
+func (u *upstream) start(t admission.Ticket, fingerprint uint64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.draining {
+		return false
+	}
+	u.running[t.ID] = fingerprint
+	return true
+}
+
+// inFlight returns the fingerprints of the requests at the upstream.
+func (u *upstream) inFlight() []uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := make([]uint64, 0, len(u.running))
+	for _, f := range u.running {
+		out = append(out, f)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (u *upstream) load() wire.Load {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	threshold := u.queue.Threshold(time.Now())
+	return wire.Load{
+		SlotsInUse: u.inUse,
+		Slots:      u.slots,
+		Queued:     len(u.waiting),
+		ShedLevel:  threshold.Level,
+		ShedShare:  threshold.Share,
+		Suspect:    u.suspect,
+	}
+}
+
+func (u *upstream) status() UpstreamStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return UpstreamStatus{u.id, u.service, u.draining, u.inUse, u.slots, len(u.waiting)}
+}
+
+// SetSuspect marks an upstream of this VM, so that answers tell ingresses.
+func (d *Dispatcher) SetSuspect(id fleet.UpstreamID, suspect bool) {
+	d.mu.RLock()
+	u := d.upstreams[id]
+	d.mu.RUnlock()
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.suspect = suspect
+}
+
+// refreshRanks passes the ranks of a new configuration on to the queues.
+func (d *Dispatcher) refreshRanks() {
+	c := d.cfg.Configuration()
+	d.mu.RLock()
+	fresh := c == d.ranksFrom
+	d.mu.RUnlock()
+	if fresh || c == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ranksFrom = c
+	d.ranks = sharesOf(c)
+	for _, u := range d.upstreams {
+		u.setRanks(d.ranks)
+	}
+}
+
+func sharesOf(c *resource.Config) []rankShare {
+	shares := make([]rankShare, 0, len(c.Ranks))
+	for _, r := range c.Ranks {
+		shares = append(shares, rankShare{Level: r.Level, Share: r.Share})
+	}
+	slices.SortFunc(shares, func(a, b rankShare) int { return a.Level - b.Level })
+	return shares
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,10 @@
 	Slots     int           `cbor:"3,keyasint" json:"slots"` // requests it runs at once
 	State     UpstreamState `cbor:"4,keyasint" json:"state"`
 	WarmUntil time.Time     `cbor:"5,keyasint" json:"warmUntil"` // end of its cold start
+	// Suspect says that its dispatcher's evidence speaks against it.
+	Suspect bool `cbor:"6,keyasint,omitempty" json:"suspect,omitempty"`
+	// Ejected says that the service's group has granted its ejection.
+	Ejected bool `cbor:"7,keyasint,omitempty" json:"ejected,omitempty"`
 }
 
 // Node is one node as membership knows it.
--- /dev/null
+++ b/ingress/ingress.go
@@ -0,0 +1,207 @@
+// Package ingress takes requests from callers over HTTP, finds their request
+// kind, and makes attempts at upstreams through the dispatchers beside them.
+package ingress
+
+import (
+	"expvar"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/godwithub/godwithub/balance"
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/retry"
+)
+
+// Headers of callers' requests.
+const (
+	HeaderKey       = "Idempotency-Key"
+	HeaderTimeoutMs = "Godwithub-Timeout-Ms" // shortens the kind's deadline, in milliseconds
+	HeaderCaller    = "Godwithub-Caller"
+)
+
+// Headers of answers to callers.
+const (
+	HeaderRequestID = "Godwithub-Request-Id"
+	HeaderOutcome   = "Godwithub-Outcome"
+	HeaderReason    = "Godwithub-Reason"
+)
+
+// Config holds what an Ingress needs. All fields are required but Budget.
+type Config struct {
+	Log    *slog.Logger
+	View   func() *board.View
+	Dialer link.Dialer
+	// CrossRegion decides whether work of a level may be sent to another region
+	// with answers of about that many bytes. Nil: always.
+	CrossRegion func(level int, answerBytes int64) bool
+	// Record takes the end of each request, for reports. It must not block.
+	Record func(Finished)
+	// Fence keeps an attempt whose dispatcher was lost from running. Nil: none.
+	Fence Fence
+}
+
+// Ingress is the HTTP handler for callers. It is safe for concurrent use.
+type Ingress struct {
+	cfg   Config
+	log   *slog.Logger
+	loads *loadTable
+	paths *pathTable
+	trace *traceLog
+
+	mu      sync.Mutex
+	budgets map[string]*lockedBudget
+	limits  map[string]*callerLimit
+
+	active  sync.WaitGroup
+	closing chan struct{}
+	stats   stats
+}
+
+type stats struct {
+	requests, attempts, retries, resends, relays, answered, notRun, unknown, shedEarly expvar.Int
+}
+
+type lockedBudget struct {
+	mu sync.Mutex
+	b  retry.Budget
+}
+
+type callerLimit struct {
+	limiter *rate.Limiter
+	rate    float64
+	burst   int
+}
+
+// New returns an ingress.
+func New(cfg Config) *Ingress {
+	return &Ingress{
+		cfg:     cfg,
+		log:     cfg.Log,
+		loads:   newLoadTable(),
+		paths:   newPathTable(),
+		trace:   newTraceLog(),
+		budgets: map[string]*lockedBudget{},
+		limits:  map[string]*callerLimit{},
+		closing: make(chan struct{}),
+	}
+}
+
+// budget returns the retry budget of a service.
+func (in *Ingress) budget(service string) *lockedBudget {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	b := in.budgets[service]
+	if b == nil {
+		b = &lockedBudget{}
+		in.budgets[service] = b
+	}
+	return b
+}
+
+func (b *lockedBudget) first(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.b.First(now)
+}
+
+func (b *lockedBudget) allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Allow(now)
+}
+
+// maxCallerLimits bounds the rate limiters kept. Limiters of callers seen
+// earlier are dropped beyond it and start anew.
+const maxCallerLimits = 100_000
+
+// withinRate reports whether a request of caller is within its rate.
+func (in *Ingress) withinRate(v *board.View, caller string) bool {
+	c := v.Config.Callers[caller]
+	if c == nil || c.RatePerSecond == 0 {
+		return true
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	l := in.limits[caller]
+	if l == nil || l.rate != c.RatePerSecond || l.burst != c.Burst {
+		if len(in.limits) >= maxCallerLimits {
+			clear(in.limits)
+		}
+		l = &callerLimit{rate.NewLimiter(rate.Limit(c.RatePerSecond), max(1, c.Burst)), c.RatePerSecond, c.Burst}
+		in.limits[caller] = l
+	}
+	return l.limiter.Allow()
+}
+
+// Metrics returns the ingress's counters for expvar.
+func (in *Ingress) Metrics() *expvar.Map {
+	m := new(expvar.Map).Init()
+	for name, v := range map[string]*expvar.Int{
+		"requests":   &in.stats.requests,
+		"attempts":   &in.stats.attempts,
+		"retries":    &in.stats.retries,
+		"resends":    &in.stats.resends,
+		"relays":     &in.stats.relays,
+		"answered":   &in.stats.answered,
+		"not_run":    &in.stats.notRun,
+		"unknown":    &in.stats.unknown,
+		"shed_early": &in.stats.shedEarly,
+	} {
+		m.Set(name, v)
+	}
+	return m
+}
+
+var _ http.Handler = (*Ingress)(nil)
+
+// candidates describes the upstreams of a service to balance.Pick.
+func (in *Ingress) candidates(v *board.View, service string, now time.Time) ([]balance.Candidate, []board.Upstream) {
+	list := v.Upstreams[service]
+	out := make([]balance.Candidate, len(list))
+	for i := range list {
+		u := &list[i]
+		load := in.loads.get(u.ID, now)
+		out[i] = balance.Candidate{
+			Node:          u.Node,
+			Upstream:      u.ID,
+			Region:        u.Region,
+			FailureDomain: u.FailureDomain,
+			Slots:         u.Slots,
+			InUse:         load.inUse,
+			Queued:        load.queued,
+			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node, now),
+			Ejected:       u.Ejected,
+			Draining:      u.State == fleet.UpstreamDraining,
+			Weight:        warmWeight(u, now),
+		}
+	}
+	return out, list
+}
+
+// coldWeight is the part of its capacity that an upstream gets at the start of
+// its cold start.
+const coldWeight = 0.1
+
+// warmWeight grows from coldWeight to 1 in the course of a cold start.
+func warmWeight(u *board.Upstream, now time.Time) float64 {
+	if u.State != fleet.UpstreamWarming {
+		return 1
+	}
+	left := u.WarmUntil.Sub(now)
+	switch {
+	case left <= 0:
+		return 1
+	case left >= rampTime:
+		return coldWeight
+	}
+	return 1 - (1-coldWeight)*float64(left)/float64(rampTime)
+}
+
+// rampTime is the last part of a cold start, in which the weight grows.
+const rampTime = 10 * time.Second
--- /dev/null
+++ b/ingress/tables.go
@@ -0,0 +1,210 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/wire"
+)
+
+const (
+	// loadFresh is how long a report of load is believed. Older reports would
+	// keep work away from an upstream that has recovered.
+	loadFresh = 2 * time.Second
+	// shedFresh is how long an admission threshold is believed. It is short, so
+	// that some requests go on to find out whether the overload is over.
+	shedFresh = 250 * time.Millisecond
+)
+
+// load is what this ingress knows of the load of an upstream.
+type load struct {
+	inUse, queued int
+	suspect       bool
+	shedLevel     int
+	shedShare     float64
+	at            time.Time
+}
+
+// loadTable holds the load of upstreams as answers reported it, plus the
+// attempts of this ingress that are on their way.
+type loadTable struct {
+	mu      sync.RWMutex
+	entries map[fleet.UpstreamID]*loadEntry
+}
+
+type loadEntry struct {
+	mu       sync.Mutex
+	reported load
+	pending  int // own attempts without an answer yet
+	atReport int // pending when the report came
+}
+
+func newLoadTable() *loadTable { return &loadTable{entries: map[fleet.UpstreamID]*loadEntry{}} }
+
+func (t *loadTable) entry(id fleet.UpstreamID) *loadEntry {
+	t.mu.RLock()
+	e := t.entries[id]
+	t.mu.RUnlock()
+	if e != nil {
+		return e
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e = t.entries[id]; e == nil {
+		e = &loadEntry{}
+		t.entries[id] = e
+	}
+	return e
+}
+
+// get returns the load of an upstream. Old reports count as no load, except
+// for this ingress's own attempts.
+func (t *loadTable) get(id fleet.UpstreamID, now time.Time) load {
+	t.mu.RLock()
+	e := t.entries[id]
+	t.mu.RUnlock()
+	if e == nil {
+		return load{shedLevel: noShedding}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.reported
+	age := now.Sub(l.at)
+	if age > loadFresh {
+		return load{inUse: e.pending, shedLevel: noShedding}
+	}
+	if age > shedFresh {
+		l.shedLevel, l.shedShare = noShedding, 0
+	}
+	l.inUse += max(0, e.pending-e.atReport)
+	return l
+}
+
+// noShedding is a threshold that admits every level.
+const noShedding = 1 << 30
+
+// begin counts an attempt on its way.
+func (e *loadEntry) begin() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pending++
+}
+
+// finish counts an attempt that ended, with the load that its answer reported.
+func (e *loadEntry) finish(l *wire.Load, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pending--
+	if l == nil || l.Slots == 0 {
+		return
+	}
+	e.atReport = e.pending
+	e.reported = load{
+		inUse:     l.SlotsInUse,
+		queued:    l.Queued,
+		suspect:   l.Suspect,
+		shedLevel: l.ShedLevel,
+		shedShare: l.ShedShare,
+		at:        now,
+	}
+}
+
+// forget drops entries without a recent report or pending attempt.
+func (t *loadTable) forget(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		e.mu.Lock()
+		if e.pending == 0 && now.Sub(e.reported.at) > time.Minute {
+			delete(t.entries, id)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// pathTrouble is how long a node is avoided after its path failed.
+const pathTrouble = 3 * time.Second
+
+// pathTable holds what this ingress knows of the paths to other nodes.
+type pathTable struct {
+	mu    sync.RWMutex
+	paths map[fleet.NodeID]*path
+}
+
+type path struct {
+	// rtt is the smoothed time from sending an attempt to its acknowledgement.
+	rtt time.Duration
+	// failedAt is when the path last failed.
+	failedAt time.Time
+}
+
+func newPathTable() *pathTable { return &pathTable{paths: map[fleet.NodeID]*path{}} }
+
+// Bounds of the wait for an acknowledgement. The lower one stands for a few
+// round trips with room for a busy scheduler; the upper one applies to paths
+// that have not been measured yet and covers regions 30 ms apart.
+const (
+	minAckTimeout = 100 * time.Millisecond
+	maxAckTimeout = 400 * time.Millisecond
+	// ackTimeoutRTTs is the wait in smoothed round trips.
+	ackTimeoutRTTs = 4
+)
+
+func (t *pathTable) ackTimeout(node fleet.NodeID) time.Duration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	p := t.paths[node]
+	if p == nil || p.rtt == 0 {
+		return maxAckTimeout
+	}
+	return min(maxAckTimeout, max(minAckTimeout, ackTimeoutRTTs*p.rtt))
+}
+
+// acked records the time to an acknowledgement.
+func (t *pathTable) acked(node fleet.NodeID, rtt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.path(node)
+	if p.rtt == 0 {
+		p.rtt = rtt
+	}
+	p.rtt += (rtt - p.rtt) / 8
+	p.failedAt = time.Time{}
+}
+
+// failed records that no acknowledgement came on any connection.
+func (t *pathTable) failed(node fleet.NodeID, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.path(node).failedAt = now
+}
+
+// path returns the entry of a node. t.mu is held.
+func (t *pathTable) path(node fleet.NodeID) *path {
+	p := t.paths[node]
+	if p == nil {
+		p = &path{}
+		t.paths[node] = p
+	}
+	return p
+}
+
+// troubled reports whether the path to a node failed a short time ago.
+func (t *pathTable) troubled(node fleet.NodeID, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	p := t.paths[node]
+	return p != nil && !p.failedAt.IsZero() && now.Sub(p.failedAt) < pathTrouble
+}
+
+// keepOnly drops paths to nodes that are not in use any more.
+func (t *pathTable) keepOnly(used func(fleet.NodeID) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.paths {
+		if !used(id) {
+			delete(t.paths, id)
+		}
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -42,7 +42,11 @@
 // from different goroutines, but each from one at a time.
 type Stream interface {
 	ReadFrame() (Frame, error)
+	// WriteFrame sends a frame, after those queued by BufferFrame.
 	WriteFrame(t FrameType, payload []byte) error
+	// BufferFrame queues a frame to be sent with the next WriteFrame, which
+	// saves a packet and a system call for frames that belong together.
+	BufferFrame(t FrameType, payload []byte) error
 	// SetReadDeadline bounds ReadFrame. The zero time removes the bound. A
 	// ReadFrame that ran into its deadline may have lost part of a frame; the
 	// stream is then only good for Reset.
--- a/link/quiclink/quiclink.go
+++ b/link/quiclink/quiclink.go
@@ -238,12 +238,18 @@
 
 func (s *stream) ReadFrame() (link.Frame, error) { return s.reader.ReadFrame() }
 
-func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
+func (s *stream) BufferFrame(t link.FrameType, payload []byte) error {
 	var err error
-	if s.out, err = link.AppendFrame(s.out[:0], t, payload); err != nil {
+	s.out, err = link.AppendFrame(s.out, t, payload)
+	return err
+}
+
+func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
+	if err := s.BufferFrame(t, payload); err != nil {
 		return err
 	}
-	_, err = s.s.Write(s.out)
+	_, err := s.s.Write(s.out)
+	s.out = s.out[:0]
 	return err
 }
 
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -285,12 +285,18 @@
 
 func (s *stream) ReadFrame() (link.Frame, error) { return s.conn.reader.ReadFrame() }
 
-func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
+func (s *stream) BufferFrame(t link.FrameType, payload []byte) error {
 	var err error
-	if s.out, err = link.AppendFrame(s.out[:0], t, payload); err != nil {
+	s.out, err = link.AppendFrame(s.out, t, payload)
+	return err
+}
+
+func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
+	if err := s.BufferFrame(t, payload); err != nil {
 		return err
 	}
-	_, err = s.conn.Write(s.out)
+	_, err := s.conn.Write(s.out)
+	s.out = s.out[:0]
 	return err
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -68,6 +70,8 @@
 	// Fingerprint is a hash of kind and body, to recognise requests that crash
 	// upstreams.
 	Fingerprint uint64 `cbor:"15,keyasint,omitempty"`
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Remaining returns the time left to the deadline.
@@ -75,6 +79,18 @@
 	return time.Duration(h.RemainingMs) * time.Millisecond
 }
 
+// URL returns the URL of the request at the upstream's address.
+func (h *AttemptHead) URL(addr string) *url.URL {
+	path, query, _ := strings.Cut(h.Target, "?")
+	u := &url.URL{Scheme: "http", Host: addr, RawQuery: query}
+	if unescaped, err := url.PathUnescape(path); err == nil {
+		u.Path, u.RawPath = unescaped, path
+	} else {
+		u.Path = path
+	}
+	return u
+}
+
 // AnswerHead starts an answer.
 type AnswerHead struct {
 	RequestID string   `cbor:"1,keyasint"` // must equal that of the attempt
@@ -104,6 +120,8 @@
 	// share of that level's callers that is refused, from 0 to 1.
 	ShedLevel int     `cbor:"4,keyasint"`
 	ShedShare float64 `cbor:"5,keyasint"`
+	// Suspect says that the dispatcher holds the upstream for unhealthy.
+	Suspect bool `cbor:"6,keyasint,omitempty"`
 }
 
 // RelayHead asks a node to pass the attempt that follows on to another node.
