admission: add the dispatcher's queue by rank

Cause: an upstream under overload must serve urgent work first without starving the other ranks, and must not spend slots on work that ends too late. Change: Queue with guaranteed shares in slot time, start-time fair queueing between callers, refusal by estimated wait, bounded length, Threshold with a refused share per rank. Conclusion: ready to be used; the policy is not yet measured on traces.

--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,205 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/outcome"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a ticket that is lost, or reported twice, so that its caller
+// waits for ever or gets two outcomes.
+func TestEveryTicketLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Options{Slots: rapid.IntRange(1, 5).Draw(t, "slots"), MaxLength: rapid.IntRange(1, 12).Draw(t, "length")})
+		q.SetRanks([]RankShare{{0, 0.3}, {1, 0.2}, {2, 0.1}})
+		now, queued := start, map[uint64]bool{}
+		var running []Ticket
+		leave := func(tickets ...Ticket) {
+			for _, ticket := range tickets {
+				assert.Assert(t, queued[ticket.ID], "ticket %d left twice", ticket.ID)
+				delete(queued, ticket.ID)
+			}
+		}
+		for id := range uint64(rapid.IntRange(1, 80).Draw(t, "steps")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				ok, reason, evicted := q.Offer(now, drawTicket(t, id, now))
+				queued[id] = true
+				leave(evicted...)
+				if !ok {
+					assert.Assert(t, reason != outcome.ReasonNone)
+					leave(Ticket{ID: id})
+				}
+			case 3:
+				ticket, expired, ok := q.Next(now)
+				leave(expired...)
+				if ok {
+					leave(ticket)
+					running = append(running, ticket)
+				}
+			case 4:
+				victim := rapid.Uint64Range(0, id).Draw(t, "victim")
+				assert.Equal(t, q.Remove(victim), queued[victim])
+				delete(queued, victim)
+			case 5:
+				if len(running) > 0 {
+					q.Done(now, running[0], 10*time.Millisecond)
+					running = running[1:]
+				}
+			}
+			assert.Equal(t, q.Len(), len(queued))
+			assert.Equal(t, q.InService(), len(running))
+		}
+		checkEmptied(t, q, now, leave)
+		assert.Equal(t, len(queued), 0)
+	})
+}
+
+func drawTicket(t *rapid.T, id uint64, now time.Time) Ticket {
+	return Ticket{
+		ID:       id,
+		Level:    rapid.IntRange(0, 3).Draw(t, "level"),
+		Caller:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
+		Weight:   rapid.IntRange(0, 4).Draw(t, "weight"),
+		Deadline: now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * time.Millisecond),
+		Retry:    rapid.Bool().Draw(t, "retry"),
+		Expected: time.Duration(rapid.IntRange(0, 20).Draw(t, "expected")) * time.Millisecond,
+	}
+}
+
+func checkEmptied(t *rapid.T, q *Queue, now time.Time, leave func(...Ticket)) {
+	for {
+		ticket, expired, ok := q.Next(now)
+		leave(expired...)
+		if !ok {
+			break
+		}
+		leave(ticket)
+	}
+	for _, r := range q.ranks {
+		assert.Equal(t, r.queued, time.Duration(0))
+		assert.Equal(t, r.weights, 0)
+	}
+}
+
+// Guards against a flood of one rank that takes the share of another.
+func TestFloodsLeaveSharesToOtherRanks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares := []RankShare{{0, 0}, {1, 0.25}, {2, 0.1}}
+		flood := rapid.IntRange(0, 2).Draw(t, "flood")
+		cost := [3]time.Duration{}
+		for i := range cost {
+			cost[i] = time.Duration(rapid.IntRange(1, 50).Draw(t, "cost ms")) * time.Millisecond
+		}
+		q := New(Options{Slots: 1})
+		q.SetRanks(shares)
+		now, id, used := start, uint64(0), [3]time.Duration{}
+		total := time.Duration(0)
+		for total < 60*time.Second {
+			for level := range cost {
+				// Every rank keeps a few tickets queued; one of them floods.
+				for q.rank(level).len() < 3 || level == flood && q.Len() < 100 {
+					id++
+					q.add(q.newEntry(q.rank(level), Ticket{ID: id, Level: level, Expected: cost[level], Deadline: now.Add(time.Hour)}))
+				}
+			}
+			ticket, _, _ := q.Next(now)
+			now = now.Add(cost[ticket.Level])
+			used[ticket.Level] += cost[ticket.Level]
+			total += cost[ticket.Level]
+			q.Done(now, ticket, cost[ticket.Level])
+		}
+		for _, s := range shares {
+			got := float64(used[s.Level]) / float64(total)
+			assert.Assert(t, got >= 0.97*s.Share-0.002, "level %d has %.3f of %.3f", s.Level, got, s.Share)
+		}
+		assert.Assert(t, float64(used[0])/float64(total) > 0.6, "the surplus goes to the most urgent")
+	})
+}
+
+// Guards against a caller that gets more of a rank by sending more.
+func TestCallersShareARankByWeight(t *testing.T) {
+	q := New(Options{Slots: 1, MaxLength: 300})
+	served := map[string]int{}
+	now, id := start, uint64(0)
+	offer := func(caller string, weight, n int) {
+		for range n {
+			id++
+			q.Offer(now, Ticket{ID: id, Caller: caller, Weight: weight, Expected: 10 * time.Millisecond, Deadline: now.Add(time.Hour)})
+		}
+	}
+	for range 1000 {
+		offer("flood", 1, 10)
+		offer("light", 1, 1)
+		offer("heavy", 2, 2)
+		ticket, _, _ := q.Next(now)
+		served[ticket.Caller]++
+		now = now.Add(10 * time.Millisecond)
+		q.Done(now, ticket, 10*time.Millisecond)
+	}
+	assert.Assert(t, served["light"] > 230 && served["flood"] < 270 && served["heavy"] > 470, "%v", served)
+}
+
+// Guards against retries and trials that push first attempts out of the queue.
+func TestExtrasNeverDisplaceFirstAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Options{Slots: 1, MaxLength: 8})
+		q.SetRanks([]RankShare{{0, 0.2}, {1, 0.2}, {2, 0.2}})
+		for id := range uint64(60) {
+			ticket := drawTicket(t, id, start)
+			ticket.Deadline = start.Add(time.Hour)
+			ticket.Trial = rapid.Bool().Draw(t, "trial")
+			_, _, evicted := q.Offer(start, ticket)
+			for _, e := range evicted {
+				assert.Assert(t, !ticket.extra() || e.extra())
+			}
+		}
+		for _, r := range q.ranks {
+			for i := 0; r.len() > 0; i++ {
+				e := r.head()
+				assert.Assert(t, !e.ticket.extra() || r.firsts.len() == 0)
+				q.drop(e)
+			}
+		}
+	})
+}
+
+// Guards against work that is admitted although it can't be in time, and
+// against a share that swings once ingresses follow it.
+func TestOverloadSettles(t *testing.T) {
+	q := New(Options{Slots: 1})
+	r := rand.New(rand.NewPCG(1, 2))
+	const service, offeredPerService = 10 * time.Millisecond, 5
+	now, id := start, uint64(0)
+	inTime, late, low, high := 0, 0, 1.0, 0.0
+	for step := range 6000 {
+		th := q.Threshold(now)
+		for range offeredPerService {
+			if id++; !th.Refuses(0, r.Uint64()) {
+				q.Offer(now, Ticket{ID: id, Expected: service, Deadline: now.Add(300 * time.Millisecond)})
+			}
+		}
+		ticket, expired, ok := q.Next(now)
+		late += len(expired)
+		now = now.Add(service)
+		if ok {
+			inTime++
+			q.Done(now, ticket, service)
+			assert.Assert(t, !now.After(ticket.Deadline))
+		}
+		if step > 200 {
+			low, high = min(low, th.Share), max(high, th.Share)
+		}
+	}
+	assert.Assert(t, inTime > 5900, "%d served", inTime)
+	assert.Assert(t, late < 60, "%d expired", late)
+	assert.Assert(t, low > 0.6 && high < 0.85, "share between %.2f and %.2f", low, high)
+}
