--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,214 @@
+// Package balance chooses the upstream of an attempt and limits the bytes that
+// cross between regions. It does no I/O and reads no clock: randomness and time
+// are parameters.
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/godwithub/godwithub/fleet"
+)
+
+// Candidate is one upstream of the request's service as the ingress knows it.
+type Candidate struct {
+	Node          fleet.NodeID
+	Upstream      fleet.UpstreamID
+	Region        string
+	FailureDomain string
+	Slots         int // requests it runs at once
+	InUse         int // slots in use, as last reported
+	Queued        int // requests that wait at its dispatcher, as last reported
+	Suspect       bool
+	Ejected       bool
+	Draining      bool
+	// Trial marks an upstream that is tested after an ejection.
+	Trial bool
+	// Weight is the part of its slots that it should get, above 0 and up to 1,
+	// for instance from Ramp. 0 counts as 1.
+	Weight float64
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Region        string // of the ingress
+	FailureDomain string // of the ingress
+	Level         int    // rank, 0 is the most urgent
+	Idempotent    bool
+	// Key makes resends of a request prefer the same upstreams in the same
+	// order. Empty: two random candidates are compared by load.
+	Key string
+	// Tried lists the upstreams of earlier attempts. They are left out.
+	Tried []fleet.UpstreamID
+	// CrossAllowed says that the request may go to another region if its own
+	// lacks healthy capacity.
+	CrossAllowed bool
+}
+
+const (
+	// fullFactor is how many times its slots an upstream may have in use and
+	// queued before it counts as full. A queue of one round of work is normal
+	// at high load and costs less than a suspect or a longer way.
+	fullFactor = 2
+	// trialShare is the part of eligible requests that is sent to an upstream
+	// under trial.
+	trialShare = 0.05
+	// suspectPenalty is added to the load of a suspect when all upstreams are
+	// full, so that one that fails fast does not attract the excess.
+	suspectPenalty = 1.0
+	// minRamp is the weight at the start of a ramp.
+	minRamp = 0.1
+)
+
+// tier orders the candidates; a lower tier is used first.
+type tier int
+
+const (
+	tierHome        tier = iota // own region, healthy, not full
+	tierRemote                  // other region, healthy, not full
+	tierSuspect                 // own region, suspect, not full
+	tierHomeFull                // own region, full
+	tierRemoteOther             // other region, suspect or full
+	tierTrial                   // under trial, and nothing else is left
+	tierUnusable
+)
+
+// Pick returns the index of the candidate that the next attempt goes to. ok is
+// false if no candidate may take the request.
+func Pick(r *rand.Rand, req Request, candidates []Candidate) (index int, ok bool) {
+	var tiers [tierUnusable][]int
+	for i := range candidates {
+		if t := tierOf(&req, &candidates[i]); t != tierUnusable {
+			tiers[t] = append(tiers[t], i)
+		}
+	}
+	if i, ok := pickTrial(r, &req, candidates, tiers[tierTrial]); ok {
+		return i, true
+	}
+	for _, indexes := range tiers {
+		if len(indexes) == 0 {
+			continue
+		}
+		if req.Key != "" {
+			return preferred(req.Key, candidates, indexes), true
+		}
+		return lessLoaded(r, &req, candidates, indexes), true
+	}
+	return 0, false
+}
+
+func tierOf(req *Request, c *Candidate) tier {
+	home := c.Region == req.Region
+	switch {
+	case c.Draining, c.Ejected, c.Slots <= 0, slices.Contains(req.Tried, c.Upstream):
+		return tierUnusable
+	case !home && !req.CrossAllowed:
+		return tierUnusable
+	case c.Trial && (!req.Idempotent || !home):
+		return tierUnusable
+	case c.Trial:
+		return tierTrial
+	case home && full(c):
+		return tierHomeFull
+	case home && c.Suspect:
+		return tierSuspect
+	case home:
+		return tierHome
+	case c.Suspect || full(c):
+		return tierRemoteOther
+	}
+	return tierRemote
+}
+
+// pickTrial sends a small part of idempotent work below the most urgent rank to
+// upstreams under trial, one request at a time.
+func pickTrial(r *rand.Rand, req *Request, candidates []Candidate, trials []int) (int, bool) {
+	if len(trials) == 0 || req.Level == 0 || r.Float64() >= trialShare {
+		return 0, false
+	}
+	i := trials[r.IntN(len(trials))]
+	c := &candidates[i]
+	return i, c.InUse+c.Queued == 0
+}
+
+// preferred returns the candidate that ranks highest for the key by rendezvous
+// hashing, so that the order changes little when upstreams come and go.
+func preferred(key string, candidates []Candidate, indexes []int) int {
+	best, bestHash := indexes[0], uint64(0)
+	var d xxhash.Digest
+	for _, i := range indexes {
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(string(candidates[i].Upstream))
+		if h := d.Sum64(); h >= bestHash {
+			best, bestHash = i, h
+		}
+	}
+	return best
+}
+
+// lessLoaded draws two candidates by capacity and returns the one with the
+// lower load; at equal load, one in the request's failure domain.
+func lessLoaded(r *rand.Rand, req *Request, candidates []Candidate, indexes []int) int {
+	total := 0.0
+	for _, i := range indexes {
+		total += capacity(&candidates[i])
+	}
+	a := draw(r, candidates, indexes, total)
+	b := draw(r, candidates, indexes, total)
+	// A second draw avoids most comparisons of a candidate with itself.
+	if a == b {
+		b = draw(r, candidates, indexes, total)
+	}
+	la, lb := load(&candidates[a]), load(&candidates[b])
+	near := candidates[b].FailureDomain == req.FailureDomain && candidates[a].FailureDomain != req.FailureDomain
+	if lb < la || lb == la && near {
+		return b
+	}
+	return a
+}
+
+func draw(r *rand.Rand, candidates []Candidate, indexes []int, total float64) int {
+	x := r.Float64() * total
+	for _, i := range indexes {
+		x -= capacity(&candidates[i])
+		if x < 0 {
+			return i
+		}
+	}
+	return indexes[len(indexes)-1]
+}
+
+func capacity(c *Candidate) float64 {
+	w := c.Weight
+	if w <= 0 || w > 1 {
+		w = 1
+	}
+	return w * float64(c.Slots)
+}
+
+func load(c *Candidate) float64 {
+	l := float64(c.InUse+c.Queued) / capacity(c)
+	if c.Suspect {
+		l += suspectPenalty
+	}
+	return l
+}
+
+func full(c *Candidate) bool {
+	return float64(c.InUse+c.Queued) >= max(fullFactor*capacity(c), 1)
+}
+
+// Ramp returns the weight of an upstream that became usable at start and takes
+// its whole part after length. It rises linearly.
+func Ramp(now, start time.Time, length time.Duration) float64 {
+	elapsed := now.Sub(start)
+	if length <= 0 || elapsed >= length {
+		return 1
+	}
+	return max(float64(elapsed)/float64(length), minRamp)
+}
