--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,75 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/outcome"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against retries that multiply the load when every upstream fails.
+func TestAttemptsStayBelowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		now, requests, attempts := start, 0, 0
+		for range rapid.IntRange(1, 20).Draw(t, "phases") {
+			step := time.Duration(rapid.IntRange(1, 4000).Draw(t, "interval ms")) * time.Millisecond
+			for range rapid.IntRange(1, 200).Draw(t, "requests") {
+				now = now.Add(step)
+				requests++
+				b.First(now)
+				a := Attempt{Ended: outcome.MayHaveRun(outcome.ReasonLostUpstream), Idempotent: true, Attempts: 1, Deadline: now.Add(time.Second)}
+				for Decide(now, &b, a) == Allowed {
+					a.Attempts++
+				}
+				attempts += a.Attempts
+				assert.Assert(t, a.Attempts <= MaxAttempts)
+			}
+		}
+		// At less than 0.2 requests/s the restored reserve adds more than 0.1
+		// per request, so the intervals above stay below 5 s.
+		assert.Assert(t, float64(attempts) < 1.2*float64(requests)+Reserve, "%d attempts at %d requests", attempts, requests)
+	})
+}
+
+// Guards against retries of work that may have run, or that is too late.
+func TestDecide(t *testing.T) {
+	lost := outcome.MayHaveRun(outcome.ReasonLostUpstream)
+	refused := outcome.HasNotRun(outcome.ReasonConnect)
+	for _, c := range []struct {
+		name    string
+		attempt Attempt
+		want    Refusal
+	}{
+		{"idempotent", Attempt{Ended: lost, Idempotent: true, Attempts: 1}, Allowed},
+		{"may have run", Attempt{Ended: lost, Attempts: 1}, RefusedOutcome},
+		{"not run", Attempt{Ended: refused, Attempts: 1}, Allowed},
+		{"final", Attempt{Ended: outcome.HasNotRun(outcome.ReasonCrashing), Idempotent: true, Attempts: 1}, RefusedOutcome},
+		{"answered", Attempt{Ended: outcome.Ended{Outcome: outcome.Answered}, Idempotent: true, Attempts: 1}, RefusedOutcome},
+		{"attempts", Attempt{Ended: refused, Attempts: MaxAttempts}, RefusedAttempts},
+		{"deadline", Attempt{Ended: refused, Attempts: 1, Expected: 2 * time.Second}, RefusedDeadline},
+	} {
+		var b Budget
+		c.attempt.Deadline = start.Add(time.Second)
+		assert.Equal(t, Decide(start, &b, c.attempt), c.want, c.name)
+	}
+}
+
+// Guards against a budget that a quiet time fills without limit.
+func TestWindowSlides(t *testing.T) {
+	var b Budget
+	for range 1000 {
+		b.First(start)
+	}
+	late := start.Add(Window + time.Second)
+	allowed := 0
+	for b.Allow(late) {
+		allowed++
+	}
+	assert.Equal(t, allowed, Reserve)
+}
