Ingress and node assembly

Cause: the thin path needs callers' requests to reach dispatchers. Change: the ingress with request matching, outcomes, attempts over direct, fresh and relayed routes, and the assembly of a node.

--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -49,6 +49,7 @@
 	}
 	w := newAnswerWriter(s, a, head)
 	stop := d.watch(a, s)
+	w.keepAlive()
 	end := d.run(a, head, body, claim, w)
 	d.attempts.finish(a, end)
 	stop()
@@ -117,10 +118,11 @@
 // serveDuplicate waits for an attempt that another stream runs, and repeats its
 // answer.
 func (d *Dispatcher) serveDuplicate(a *attempt, s link.Stream, head *wire.AttemptHead) {
+	w := newAnswerWriter(s, nil, head)
 	stop := d.watch(a, s)
+	w.keepAlive()
 	<-a.done
 	stop()
-	w := newAnswerWriter(s, nil, head)
 	end := a.end
 	switch {
 	case end.Outcome != outcome.Answered:
@@ -143,71 +145,3 @@
 		d.stats.unknown.Add(1)
 	}
 }
-
-// answerWriter sends an answer on a stream. After the first failure it only
-// keeps the answer for a resend.
-type answerWriter struct {
-	s         link.Stream
-	keep      *attempt // nil: keep nothing
-	requestID string
-	sent      int64
-	err       error
-}
-
-func newAnswerWriter(s link.Stream, keep *attempt, head *wire.AttemptHead) *answerWriter {
-	return &answerWriter{s: s, keep: keep, requestID: head.RequestID}
-}
-
-// head queues the head; it leaves with the first data or the end.
-func (w *answerWriter) head(h *wire.AnswerHead) {
-	if w.keep != nil {
-		w.keep.keepHead(h)
-	}
-	if w.err != nil {
-		return
-	}
-	b, err := wire.Encode(h)
-	if err != nil {
-		w.err = err
-		return
-	}
-	w.err = w.s.BufferFrame(wire.FrameAnswer, b)
-}
-
-func (w *answerWriter) data(b []byte) {
-	if w.keep != nil {
-		w.keep.keepBody(b)
-	}
-	if w.err != nil {
-		return
-	}
-	w.err = wire.WriteChunks(w.s, wire.FrameData, b)
-	w.sent += int64(len(b))
-}
-
-// last queues the last bytes of a body, so that they leave in
-// one packet with the end.
-func (w *answerWriter) last(b []byte) {
-	if w.err != nil || len(b) == 0 || len(b) > link.MaxPayload {
-		w.data(b)
-		return
-	}
-	if w.keep != nil {
-		w.keep.keepBody(b)
-	}
-	w.err = w.s.BufferFrame(wire.FrameData, b)
-	w.sent += int64(len(b))
-}
-
-func (w *answerWriter) finish(end wire.AnswerEnd) {
-	end.RequestID = w.requestID
-	end.BodyBytes = w.sent
-	if w.err == nil {
-		w.err = wire.Write(w.s, wire.FrameAnswerEnd, &end)
-	}
-	if w.err != nil {
-		w.s.Reset()
-		return
-	}
-	w.s.Close()
-}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -51,7 +51,7 @@
 		id:      a.ID,
 		service: a.Service,
 		addr:    a.Addr,
-		queue:   admission.NewQueue(a.Slots),
+		queue:   admission.New(admission.Options{Slots: a.Slots}),
 		waiting: map[uint64]chan outcome.Ended{},
 		running: map[uint64]uint64{},
 	}
@@ -103,6 +103,13 @@
 	}
 }
 
+// wakeAll refuses tickets that left the queue. u.mu is held.
+func (u *upstream) wakeAll(tickets []admission.Ticket, reason outcome.Reason) {
+	for _, t := range tickets {
+		u.wake(t.ID, outcome.HasNotRun(reason))
+	}
+}
+
 var slotGranted = outcome.Ended{Outcome: outcome.Answered}
 
 // acquire waits for a slot. It returns the ticket to release, or how the
@@ -132,10 +139,9 @@
 	u.nextID++
 	t.ID = u.nextID
 	now := time.Now()
+	u.wakeAll(u.queue.Expire(now), outcome.ReasonDeadline)
 	ok, reason, evicted := u.queue.Offer(now, t)
-	for _, e := range evicted {
-		u.wake(e.ID, outcome.HasNotRun(outcome.ReasonShed))
-	}
+	u.wakeAll(evicted, outcome.ReasonShed)
 	if !ok {
 		return nil, t, outcome.HasNotRun(reason), false
 	}
@@ -149,9 +155,7 @@
 func (u *upstream) fill(now time.Time) {
 	for u.inUse < u.slots {
 		t, expired, ok := u.queue.Next(now)
-		for _, e := range expired {
-			u.wake(e.ID, outcome.HasNotRun(outcome.ReasonDeadline))
-		}
+		u.wakeAll(expired, outcome.ReasonDeadline)
 		if !ok {
 			return
 		}
@@ -186,9 +190,7 @@
 	now := time.Now()
 	u.inUse--
 	delete(u.running, t.ID)
-	if service > 0 {
-		u.queue.Done(now, t, service)
-	}
+	u.queue.Done(now, t, service)
 	u.fill(now)
 }
 
@@ -226,6 +228,7 @@
 		Queued:     len(u.waiting),
 		ShedLevel:  threshold.Level,
 		ShedShare:  threshold.Share,
+		Refused:    threshold.Refused,
 		Suspect:    u.suspect,
 	}
 }
--- /dev/null
+++ b/ingress/attempt.go
@@ -0,0 +1,231 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+const (
+	// dialTimeout bounds a new connection to a dispatcher. Two regions are
+	// 30 ms apart, and TCP with TLS takes two round trips.
+	dialTimeout = 500 * time.Millisecond
+	// silenceTimeout is how long a dispatcher may say nothing of an attempt. It
+	// repeats its acknowledgement every wire.AckInterval.
+	silenceTimeout = 5 * wire.AckInterval / 2
+	// maxBuffered is the largest answer that is held until it is complete, in
+	// bytes. Until then the caller has seen nothing of it, so a broken answer
+	// can still be replaced.
+	maxBuffered = 64 << 10
+)
+
+// route is a way to reach a dispatcher.
+type route uint8
+
+const (
+	routeDirect route = iota
+	routeFresh        // over a new connection
+	routeRelay        // through a third node
+	routeCount
+)
+
+var routeNames = [...]string{"direct", "fresh", "relay"}
+
+// attempt is one attempt at a request, over one or more routes.
+type attempt struct {
+	in   *Ingress
+	rq   *request
+	u    *board.Upstream
+	v    *board.View
+	head *wire.AttemptHead
+	// mayRun is set before a frame is sent that lets the dispatcher run the
+	// request. Until then the request is known not to have run.
+	mayRun bool
+	// acked is set once the dispatcher has shown that it has the attempt.
+	acked bool
+	out   *answer
+}
+
+// errSilent reports a dispatcher that did not acknowledge, or fell silent.
+var errSilent = errors.New("ingress: no acknowledgement")
+
+// run makes the attempt. The same attempt is sent again over another route as
+// long as nothing of its answer has been passed on: the dispatcher runs it once.
+func (a *attempt) run(ctx context.Context) (outcome.Ended, *wire.Load) {
+	for r := routeDirect; r < routeCount; r++ {
+		end, err := a.over(ctx, r)
+		if err == nil {
+			return outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}, &end.Load
+		}
+		if ctx.Err() != nil {
+			return a.interrupted(ctx), nil
+		}
+		a.in.log.Debug("route to dispatcher failed", "request", a.rq.id, "node", a.u.Node, "route", routeNames[r], "fault", err)
+		if a.out.begun {
+			return outcome.MayHaveRun(outcome.ReasonShortAnswer), nil
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			break // the process is gone, so no other route leads to it
+		}
+		if r == routeDirect {
+			a.in.cfg.Dialer.Replace(a.u.LinkAddr)
+			a.in.stats.resends.Add(1)
+		}
+	}
+	a.in.paths.failed(a.u.Node, time.Now())
+	if !a.mayRun {
+		return outcome.HasNotRun(outcome.ReasonPathDown), nil
+	}
+	return outcome.MayHaveRun(outcome.ReasonLostDispatcher), nil
+}
+
+// interrupted tells how an attempt ended whose context ended.
+func (a *attempt) interrupted(ctx context.Context) outcome.Ended {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case !a.mayRun && late:
+		return outcome.HasNotRun(outcome.ReasonDeadline)
+	case !a.mayRun:
+		return outcome.HasNotRun(outcome.ReasonCanceled)
+	case late:
+		return outcome.MayHaveRun(outcome.ReasonLateAnswer)
+	default:
+		return outcome.MayHaveRun(outcome.ReasonCanceled)
+	}
+}
+
+// over makes the attempt over one route. An error means that the route failed.
+func (a *attempt) over(ctx context.Context, r route) (*wire.AnswerEnd, error) {
+	s, err := a.open(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, s.Reset)
+	end, err := a.exchange(s, r)
+	if !stop() || err != nil {
+		s.Reset()
+		return end, err
+	}
+	s.Close()
+	return end, nil
+}
+
+func (a *attempt) open(ctx context.Context, r route) (link.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if r != routeRelay {
+		return a.in.cfg.Dialer.Open(ctx, a.u.LinkAddr)
+	}
+	relay := a.relay()
+	if relay == "" {
+		return nil, errSilent
+	}
+	a.in.stats.relays.Add(1)
+	s, err := a.in.cfg.Dialer.Open(ctx, relay)
+	if err != nil {
+		return nil, err
+	}
+	if err := wire.Write(s, wire.FrameRelay, wire.RelayHead{Addr: a.u.LinkAddr}); err != nil {
+		s.Reset()
+		return nil, err
+	}
+	return s, nil
+}
+
+// relay chooses a third node whose path is not in trouble, in this region if
+// there is one.
+func (a *attempt) relay() string {
+	now := time.Now()
+	best := ""
+	offset := int(a.rq.fingerprint % uint64(max(1, len(a.v.Nodes))))
+	for i := range a.v.Nodes {
+		n := &a.v.Nodes[(i+offset)%len(a.v.Nodes)]
+		if n.ID == a.u.Node || a.in.paths.troubled(n.ID, now) {
+			continue
+		}
+		if n.Region == a.v.Self.Region {
+			return n.LinkAddr
+		}
+		best = n.LinkAddr
+	}
+	return best
+}
+
+// exchange sends the attempt on s and takes the answer.
+func (a *attempt) exchange(s link.Stream, r route) (*wire.AnswerEnd, error) {
+	sent := time.Now()
+	if err := a.send(s); err != nil {
+		return nil, err
+	}
+	timeout := a.in.paths.ackTimeout(a.u.Node)
+	if r == routeRelay {
+		timeout = maxAckTimeout + dialTimeout
+	}
+	s.SetReadDeadline(sent.Add(timeout))
+	if err := wire.Read(s, wire.FrameAck, nil); err != nil {
+		return nil, silentIfTimeout(err)
+	}
+	a.acked = true
+	if r != routeRelay {
+		a.in.paths.acked(a.u.Node, time.Since(sent))
+	}
+	if !a.rq.kind.Idempotent {
+		a.mayRun = true
+		if err := s.WriteFrame(wire.FrameEnd, nil); err != nil {
+			return nil, err
+		}
+	}
+	return a.out.receive(s, a.rq)
+}
+
+// send writes the request. A request that may not run twice is sent without
+// its end, and the dispatcher does not run it before the end: as long as no
+// acknowledgement has come, the request is known not to have run.
+func (a *attempt) send(s link.Stream) error {
+	head, err := wire.Encode(a.head)
+	if err != nil {
+		return err
+	}
+	if err := s.BufferFrame(wire.FrameAttempt, head); err != nil {
+		return err
+	}
+	if a.rq.kind.Idempotent {
+		a.mayRun = true
+		if err := bufferChunks(s, a.rq.body); err != nil {
+			return err
+		}
+		return s.WriteFrame(wire.FrameEnd, nil)
+	}
+	// An empty data frame sends what is queued.
+	if err := bufferChunks(s, a.rq.body); err != nil {
+		return err
+	}
+	return s.WriteFrame(wire.FrameData, nil)
+}
+
+func bufferChunks(s link.Stream, b []byte) error {
+	for len(b) > 0 {
+		n := min(len(b), link.MaxPayload)
+		if err := s.BufferFrame(wire.FrameData, b[:n]); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+func silentIfTimeout(err error) error {
+	var timeout net.Error
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() {
+		return errSilent
+	}
+	return err
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -58,9 +58,8 @@
 	budgets map[string]*lockedBudget
 	limits  map[string]*callerLimit
 
-	active  sync.WaitGroup
-	closing chan struct{}
-	stats   stats
+	active sync.WaitGroup
+	stats  stats
 }
 
 type stats struct {
@@ -88,7 +87,6 @@
 		trace:   newTraceLog(),
 		budgets: map[string]*lockedBudget{},
 		limits:  map[string]*callerLimit{},
-		closing: make(chan struct{}),
 	}
 }
 
@@ -110,12 +108,6 @@
 	b.b.First(now)
 }
 
-func (b *lockedBudget) allow(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.b.Allow(now)
-}
-
 // maxCallerLimits bounds the rate limiters kept. Limiters of callers seen
 // earlier are dropped beyond it and start anew.
 const maxCallerLimits = 100_000
--- /dev/null
+++ b/ingress/request.go
@@ -0,0 +1,190 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/dispatch"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+const (
+	maxKeyLength = 255
+	maxTimeoutMs = 600_000
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes = 64 << 10
+)
+
+// request is a caller's request whose kind was found.
+type request struct {
+	id      string
+	began   time.Time
+	service *resource.Service
+	kind    *resource.RequestKind
+	level   int
+	caller  string
+	// callerHash spreads callers for admission thresholds.
+	callerHash  uint64
+	key         string
+	deadline    time.Time
+	body        []byte
+	fingerprint uint64
+	http        *http.Request
+}
+
+// refusal is a request refused before any attempt.
+type refusal struct {
+	reason  outcome.Reason
+	message string // names the field at fault
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return string(r.reason) + ": " + r.message }
+
+func refuse(reason outcome.Reason, format string, args ...any) error {
+	return &refusal{reason, fmt.Sprintf(format, args...)}
+}
+
+// newRequestID returns a UUIDv7, which carries the time of the request.
+func newRequestID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// parse checks a caller's request and finds its kind. It reads the body. The
+// request id is set even if it returns a refusal.
+func parse(v *board.View, r *http.Request, now time.Time) (*request, error) {
+	rq := &request{id: newRequestID(), began: now, http: r}
+	switch {
+	case v.Leaving:
+		return rq, refuse(outcome.ReasonDraining, "the node is leaving")
+	case v.Config == nil:
+		return rq, refuse(outcome.ReasonNoConfiguration, "the node has no configuration yet")
+	}
+	if err := rq.match(v.Config); err != nil {
+		return rq, err
+	}
+	if err := rq.readHeaders(); err != nil {
+		return rq, err
+	}
+	return rq, rq.readBody()
+}
+
+func (rq *request) match(c *resource.Config) error {
+	r := rq.http
+	rq.service = c.Route(r.Host, r.URL.Path)
+	if rq.service == nil {
+		return refuse(outcome.ReasonNoRoute, "no route for host %q and path %q", r.Host, r.URL.Path)
+	}
+	rq.kind = c.Kind(rq.service.Name, r.Method, r.URL.Path)
+	if rq.kind == nil {
+		return refuse(outcome.ReasonNoKind, "service %s has no request kind for %s %q", rq.service.Name, r.Method, r.URL.Path)
+	}
+	if rank := c.Ranks[rq.kind.Rank]; rank != nil {
+		rq.level = rank.Level
+	}
+	return nil
+}
+
+func (rq *request) readHeaders() error {
+	h := rq.http.Header
+	rq.caller = h.Get(HeaderCaller)
+	if rq.caller == "" {
+		// Callers without a name share fairness by their address.
+		rq.caller, _, _ = net.SplitHostPort(rq.http.RemoteAddr)
+	} else if !resource.ValidName(rq.caller) {
+		return refuse(outcome.ReasonBadRequest, "%s: not 1 to 63 lower-case letters, digits and inner dashes", HeaderCaller)
+	}
+	rq.callerHash = xxhash.Sum64String(rq.caller)
+	if keys := h.Values(HeaderKey); len(keys) > 1 {
+		return refuse(outcome.ReasonBadRequest, "%s: given %d times", HeaderKey, len(keys))
+	}
+	rq.key = h.Get(HeaderKey)
+	if !validKey(rq.key) {
+		return refuse(outcome.ReasonBadRequest, "%s: not up to %d printable ASCII characters", HeaderKey, maxKeyLength)
+	}
+	timeout := time.Duration(rq.kind.DeadlineMs) * time.Millisecond
+	if s := h.Get(HeaderTimeoutMs); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms < 1 || ms > maxTimeoutMs {
+			return refuse(outcome.ReasonBadRequest, "%s: %q is not a number from 1 to %d", HeaderTimeoutMs, s, maxTimeoutMs)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	rq.deadline = rq.began.Add(timeout)
+	return nil
+}
+
+func validKey(s string) bool {
+	if len(s) > maxKeyLength {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] < 0x21 || s[i] > 0x7e {
+			return false
+		}
+	}
+	return true
+}
+
+func (rq *request) readBody() error {
+	if rq.http.ContentLength > dispatch.MaxBody {
+		return refuse(outcome.ReasonTooLarge, "body of %d bytes is over %d", rq.http.ContentLength, dispatch.MaxBody)
+	}
+	if rq.http.Body != nil && rq.http.Body != http.NoBody {
+		body, err := io.ReadAll(http.MaxBytesReader(nil, rq.http.Body, dispatch.MaxBody))
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			return refuse(outcome.ReasonTooLarge, "body is over %d bytes", dispatch.MaxBody)
+		case err != nil:
+			return refuse(outcome.ReasonBadRequest, "body: %v", err)
+		}
+		rq.body = body
+	}
+	rq.fingerprint = rq.hash()
+	return nil
+}
+
+// hash identifies the content of the request, to recognise it when its caller
+// sends it again.
+func (rq *request) hash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	d.WriteString(rq.kind.Name)
+	d.WriteString("\x00")
+	d.WriteString(rq.http.URL.RequestURI())
+	d.WriteString("\x00")
+	d.Write(rq.body)
+	return d.Sum64()
+}
+
+// head returns the head of an attempt at the request.
+func (rq *request) head(attemptID string, u *board.Upstream, retry bool, now time.Time) *wire.AttemptHead {
+	return &wire.AttemptHead{
+		AttemptID:   attemptID,
+		RequestID:   rq.id,
+		Service:     rq.service.Name,
+		Kind:        rq.kind.Name,
+		Upstream:    string(u.ID),
+		Caller:      rq.caller,
+		Key:         rq.key,
+		RemainingMs: rq.deadline.Sub(now).Milliseconds(),
+		Method:      rq.http.Method,
+		Target:      rq.http.URL.RequestURI(),
+		Host:        rq.http.Host,
+		Headers:     dispatch.EndToEnd(rq.http.Header),
+		BodyBytes:   int64(len(rq.body)),
+		Retry:       retry,
+		Fingerprint: rq.fingerprint,
+		Idempotent:  rq.kind.Idempotent,
+	}
+}
--- /dev/null
+++ b/ingress/serve.go
@@ -0,0 +1,280 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/godwithub/godwithub/balance"
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/retry"
+)
+
+// Finished describes a request that has ended, for reports.
+type Finished struct {
+	Service  string
+	Kind     string
+	Level    int
+	Ended    outcome.Ended
+	Status   int
+	Latency  time.Duration
+	Attempts int
+}
+
+// ServeHTTP implements http.Handler.
+func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	in.active.Add(1)
+	defer in.active.Done()
+	in.stats.requests.Add(1)
+	v := in.cfg.View()
+	rq, err := parse(v, r, time.Now())
+	if err == nil && !in.withinRate(v, rq.caller) {
+		err = refuse(outcome.ReasonRateLimited, "caller %s is over its rate", rq.caller)
+	}
+	if err != nil {
+		in.refuse(w, rq, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
+	defer cancel()
+	s := &serving{in: in, v: v, rq: rq, out: &answer{w: w}}
+	s.finish(w, s.run(ctx))
+}
+
+// refuse answers a request that gets no attempt.
+func (in *Ingress) refuse(w http.ResponseWriter, rq *request, err error) {
+	var r *refusal
+	if !errors.As(err, &r) {
+		r = &refusal{outcome.ReasonInternal, err.Error()}
+	}
+	e := outcome.HasNotRun(r.reason)
+	if r.reason == outcome.ReasonDraining {
+		// The caller should open its next connection to another node.
+		w.Header().Set("Connection", "close")
+	}
+	in.stats.notRun.Add(1)
+	fail(w, rq.id, e, r.message)
+	in.trace.add(Trace{RequestID: rq.id, Began: rq.began, Ended: e, Message: r.message})
+}
+
+// serving is a request on its way through attempts.
+type serving struct {
+	in       *Ingress
+	v        *board.View
+	rq       *request
+	out      *answer
+	attempts int
+	tried    []fleet.UpstreamID
+	trace    []AttemptTrace
+}
+
+// run makes attempts until one settles the request.
+func (s *serving) run(ctx context.Context) outcome.Ended {
+	budget := s.in.budget(s.rq.service.Name)
+	budget.first(time.Now())
+	last := outcome.HasNotRun(outcome.ReasonNoUpstream)
+	mayHaveRun := false
+	for {
+		e, ok := s.attempt(ctx)
+		if !ok {
+			if s.attempts == 0 {
+				return e
+			}
+			return last
+		}
+		last = settle(last, e, mayHaveRun)
+		mayHaveRun = mayHaveRun || e.Outcome != outcome.NotRun
+		if !s.again(budget, e) {
+			return last
+		}
+		s.in.stats.retries.Add(1)
+		// Membership may have moved on since the request came.
+		s.v = s.in.cfg.View()
+	}
+}
+
+// settle returns what is known of a request after its latest attempt ended
+// with e. A "not run" speaks of its own attempt only: once an earlier one may
+// have run, so may the request.
+func settle(last, e outcome.Ended, mayHaveRun bool) outcome.Ended {
+	if e.Outcome != outcome.NotRun || !mayHaveRun {
+		return e
+	}
+	if last.Outcome == outcome.Answered {
+		// The answer was a server error that was given up for this attempt.
+		return outcome.MayHaveRun(outcome.ReasonLostUpstream)
+	}
+	return last
+}
+
+// again reports whether another attempt follows one that ended with e.
+func (s *serving) again(budget *lockedBudget, e outcome.Ended) bool {
+	if s.out.begun {
+		return false
+	}
+	if e.Outcome == outcome.Answered {
+		if !s.out.retryStatus || s.out.head.Status < http.StatusInternalServerError {
+			return false
+		}
+		// A server error of an idempotent kind is retried like a lost answer.
+		e = outcome.MayHaveRun(outcome.ReasonLostUpstream)
+	}
+	now := time.Now()
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	return retry.Decide(now, &budget.b, retry.Attempt{
+		Ended:      e,
+		Idempotent: s.rq.kind.Idempotent,
+		Attempts:   s.attempts,
+		Deadline:   s.rq.deadline,
+	}) == retry.Allowed
+}
+
+// attempt chooses an upstream and makes one attempt. ok is false if there was
+// nothing to attempt.
+func (s *serving) attempt(ctx context.Context) (e outcome.Ended, ok bool) {
+	now := time.Now()
+	u, reason := s.pick(now)
+	if u == nil {
+		return outcome.HasNotRun(reason), false
+	}
+	s.attempts++
+	s.in.stats.attempts.Add(1)
+	s.tried = append(s.tried, u.ID)
+	s.out.retryStatus = s.rq.kind.Idempotent && s.attempts < retry.MaxAttempts
+	a := &attempt{
+		in:   s.in,
+		rq:   s.rq,
+		u:    u,
+		v:    s.v,
+		head: s.rq.head(s.rq.id+"-"+strconv.Itoa(s.attempts), u, s.attempts > 1, now),
+		out:  s.out,
+	}
+	if a.head.RemainingMs <= 0 {
+		return outcome.HasNotRun(outcome.ReasonDeadline), true
+	}
+	entry := s.in.loads.entry(u.ID)
+	entry.begin()
+	e, load := a.run(ctx)
+	entry.finish(load, time.Now())
+	e = s.fence(ctx, a, e)
+	s.trace = append(s.trace, AttemptTrace{u.ID, u.Node, time.Since(now), e.Outcome.String(), string(e.Reason)})
+	return e, true
+}
+
+// pick chooses an upstream. Upstreams whose queue refuses such work are left
+// out, so that an overload is refused here at no cost to the slots.
+func (s *serving) pick(now time.Time) (*board.Upstream, outcome.Reason) {
+	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, now)
+	req := balance.Request{
+		Region:        s.v.Self.Region,
+		FailureDomain: s.v.Self.FailureDomain,
+		Level:         s.rq.level,
+		Idempotent:    s.rq.kind.Idempotent,
+		Key:           s.rq.key,
+		Tried:         s.tried,
+		CrossAllowed:  true,
+	}
+	reason := outcome.ReasonNoUpstream
+	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for {
+		i, ok := balance.Pick(r, req, candidates)
+		if !ok {
+			return nil, reason
+		}
+		u := &upstreams[i]
+		crossing := u.Region != s.v.Self.Region
+		switch {
+		case s.in.loads.refuses(u.ID, s.rq, now):
+			reason = outcome.ReasonShed
+			s.in.stats.shedEarly.Add(1)
+			req.Tried = append(req.Tried[:len(req.Tried):len(req.Tried)], u.ID)
+		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes+int64(len(s.rq.body))):
+			reason = outcome.ReasonShed
+			req.CrossAllowed = false
+		default:
+			return u, ""
+		}
+	}
+}
+
+// finish answers the caller.
+func (s *serving) finish(w http.ResponseWriter, e outcome.Ended) {
+	status := statusOf(e)
+	answered := e.Outcome == outcome.Answered
+	if answered {
+		status = s.out.head.Status
+	}
+	s.in.count(e.Outcome)
+	s.in.record(s, e, status)
+	switch {
+	case answered:
+		s.out.pass(s.rq)
+	case s.out.begun:
+		// Part of an answer has gone out. Ending it here would pass it off as
+		// whole, so the caller's connection is cut.
+		panic(http.ErrAbortHandler)
+	default:
+		fail(w, s.rq.id, e, "")
+	}
+}
+
+func (in *Ingress) count(o outcome.Outcome) {
+	switch o {
+	case outcome.Answered:
+		in.stats.answered.Add(1)
+	case outcome.NotRun:
+		in.stats.notRun.Add(1)
+	default:
+		in.stats.unknown.Add(1)
+	}
+}
+
+func (in *Ingress) record(s *serving, e outcome.Ended, status int) {
+	latency := time.Since(s.rq.began)
+	in.trace.add(Trace{
+		RequestID: s.rq.id,
+		Began:     s.rq.began,
+		Service:   s.rq.service.Name,
+		Kind:      s.rq.kind.Name,
+		Caller:    s.rq.caller,
+		Ended:     e,
+		Status:    status,
+		Latency:   latency,
+		Attempts:  s.trace,
+	})
+	if in.cfg.Record != nil {
+		in.cfg.Record(Finished{s.rq.service.Name, s.rq.kind.Name, s.rq.level, e, status, latency, s.attempts})
+	}
+}
+
+// Leave waits until all requests in hand have been answered, or ctx ends. New
+// requests are refused once the view says that the node is leaving.
+func (in *Ingress) Leave(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() { in.active.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Maintain drops what is known of upstreams and nodes that are gone. It is
+// called about once a minute.
+func (in *Ingress) Maintain(now time.Time) {
+	in.loads.forget(now)
+	used := map[fleet.NodeID]bool{}
+	v := in.cfg.View()
+	used[v.Self.ID] = true
+	for i := range v.Nodes {
+		used[v.Nodes[i].ID] = true
+	}
+	in.paths.keepOnly(func(id fleet.NodeID) bool { return used[id] })
+}
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -21,8 +22,7 @@
 type load struct {
 	inUse, queued int
 	suspect       bool
-	shedLevel     int
-	shedShare     float64
+	threshold     admission.Threshold
 	at            time.Time
 }
 
@@ -65,24 +65,27 @@
 	e := t.entries[id]
 	t.mu.RUnlock()
 	if e == nil {
-		return load{shedLevel: noShedding}
+		return load{threshold: admission.AdmitAll()}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.reported
 	age := now.Sub(l.at)
 	if age > loadFresh {
-		return load{inUse: e.pending, shedLevel: noShedding}
+		return load{inUse: e.pending, threshold: admission.AdmitAll()}
 	}
 	if age > shedFresh {
-		l.shedLevel, l.shedShare = noShedding, 0
+		l.threshold = admission.AdmitAll()
 	}
 	l.inUse += max(0, e.pending-e.atReport)
 	return l
 }
 
-// noShedding is a threshold that admits every level.
-const noShedding = 1 << 30
+// refuses reports whether the upstream's queue would refuse the request.
+func (t *loadTable) refuses(id fleet.UpstreamID, rq *request, now time.Time) bool {
+	l := t.get(id, now)
+	return l.threshold.Refuses(rq.level, rq.callerHash)
+}
 
 // begin counts an attempt on its way.
 func (e *loadEntry) begin() {
@@ -104,8 +107,7 @@
 		inUse:     l.SlotsInUse,
 		queued:    l.Queued,
 		suspect:   l.Suspect,
-		shedLevel: l.ShedLevel,
-		shedShare: l.ShedShare,
+		threshold: l.Threshold(),
 		at:        now,
 	}
 }
--- /dev/null
+++ b/ingress/trace.go
@@ -0,0 +1,68 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/outcome"
+)
+
+// Trace tells what became of one request, for operators.
+type Trace struct {
+	RequestID string         `json:"requestId"`
+	Began     time.Time      `json:"began"`
+	Service   string         `json:"service,omitempty"`
+	Kind      string         `json:"kind,omitempty"`
+	Caller    string         `json:"caller,omitempty"`
+	Ended     outcome.Ended  `json:"ended"`
+	Status    int            `json:"status"`
+	Latency   time.Duration  `json:"latencyNs"`
+	Message   string         `json:"message,omitempty"`
+	Attempts  []AttemptTrace `json:"attempts,omitempty"`
+}
+
+// AttemptTrace tells what became of one attempt.
+type AttemptTrace struct {
+	Upstream fleet.UpstreamID `json:"upstream"`
+	Node     fleet.NodeID     `json:"node"`
+	Took     time.Duration    `json:"tookNs"`
+	Outcome  string           `json:"outcome"`
+	Reason   string           `json:"reason,omitempty"`
+}
+
+// maxTraces is how many requests are remembered, about 20 s at 205 requests/s.
+const maxTraces = 4096
+
+// traceLog remembers recent requests in a ring.
+type traceLog struct {
+	mu   sync.Mutex
+	ring []Trace
+	next int
+}
+
+func newTraceLog() *traceLog { return &traceLog{ring: make([]Trace, 0, maxTraces)} }
+
+func (l *traceLog) add(t Trace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ring) < maxTraces {
+		l.ring = append(l.ring, t)
+		return
+	}
+	l.ring[l.next] = t
+	l.next = (l.next + 1) % maxTraces
+}
+
+// Explain returns the trace of a recent request.
+func (in *Ingress) Explain(requestID string) (Trace, bool) {
+	l := in.trace
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.ring {
+		if l.ring[i].RequestID == requestID {
+			return l.ring[i], true
+		}
+	}
+	return Trace{}, false
+}
--- /dev/null
+++ b/node/debug.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+
+	"github.com/godwithub/godwithub/version"
+)
+
+// debugHandler serves metrics, health and explanations on loopback:
+//
+//	GET /debug/vars             metrics (expvar)
+//	GET /healthz                200 while the node takes work, else 503
+//	GET /v1/view                what the node knows of the fleet
+//	GET /v1/explain/{request}   what became of a recent request
+func (n *Node) debugHandler() http.Handler {
+	vars := map[string]expvar.Var{
+		"ingress":  n.ingress.Metrics(),
+		"dispatch": n.dispatcher.Metrics(),
+		"memstats": expvar.Get("memstats"),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { writeVars(w, vars) })
+	mux.HandleFunc("GET /healthz", n.serveHealth)
+	mux.HandleFunc("GET /v1/view", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.status()) })
+	mux.HandleFunc("GET /v1/explain/{request}", n.serveExplain)
+	return mux
+}
+
+// Status is what a node knows of the fleet, for operators.
+type Status struct {
+	Version   string           `json:"version"`
+	Node      string           `json:"node"`
+	Leaving   bool             `json:"leaving"`
+	Config    string           `json:"config"` // "epoch.revision", or empty
+	Nodes     int              `json:"nodes"`  // usable nodes other than this one
+	Upstreams map[string][]any `json:"upstreams"`
+}
+
+func (n *Node) status() Status {
+	v := n.board.View()
+	s := Status{Version: version.Version, Node: n.set.NodeID, Leaving: v.Leaving, Nodes: len(v.Nodes), Upstreams: map[string][]any{}}
+	if v.Config != nil {
+		s.Config = v.Config.Version.String()
+	}
+	for service, list := range v.Upstreams {
+		for _, u := range list {
+			s.Upstreams[service] = append(s.Upstreams[service], u)
+		}
+	}
+	return s
+}
+
+func (n *Node) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	v := n.board.View()
+	switch {
+	case v.Leaving:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case v.Config == nil:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		w.Write([]byte("ok\n"))
+	}
+}
+
+func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
+	t, ok := n.ingress.Explain(r.PathValue("request"))
+	if !ok {
+		http.Error(w, "no recent request of that id came to this node", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, t)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	enc.Encode(v)
+}
+
+func writeVars(w http.ResponseWriter, vars map[string]expvar.Var) {
+	out := map[string]json.RawMessage{}
+	for name, v := range vars {
+		out[name] = json.RawMessage(v.String())
+	}
+	writeJSON(w, out)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,220 @@
+// Package node assembles a node: ingress and dispatcher around the board, the
+// link, membership and the configuration.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/dispatch"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/ingress"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/link/quiclink"
+	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// Node is one running node.
+type Node struct {
+	set Settings
+	log *slog.Logger
+
+	board      *board.Board
+	dispatcher *dispatch.Dispatcher
+	ingress    *ingress.Ingress
+	mux        *link.Mux
+	dialer     link.Dialer
+	listener   link.Listener
+	members    Membership
+	config     ConfigSource
+
+	callers, announcements, debug *http.Server
+	callerLn, announceLn, debugLn net.Listener
+}
+
+// Membership tells the fleet of this node and this node of the fleet.
+type Membership interface {
+	SetLocal(fleet.Node)
+	// Subscribe calls f for each change of a member, and for present members.
+	Subscribe(f func(fleet.Node))
+	Leave(ctx context.Context) error
+	Close() error
+}
+
+// ConfigSource brings configurations to this node.
+type ConfigSource interface {
+	// Subscribe calls f for the present configuration, if any, and newer ones.
+	Subscribe(f func(*resource.Set))
+	Run(ctx context.Context) error
+}
+
+// newLink returns the dialer and listener of the transport in the settings.
+func newLink(set *Settings, ring *keys.Ring) (link.Dialer, link.Listener, error) {
+	host, _, err := net.SplitHostPort(set.LinkAddr)
+	if err != nil {
+		return nil, nil, fmt.Errorf("node: link address: %w", err)
+	}
+	if set.LinkTransport == "quic" {
+		d, err := quiclink.NewDialer(host, ring.Client(keys.RoleNode), set.LinkConns)
+		if err != nil {
+			return nil, nil, err
+		}
+		l, err := quiclink.Listen(set.LinkAddr, ring.Server())
+		if err != nil {
+			d.Close()
+			return nil, nil, err
+		}
+		return d, l, nil
+	}
+	l, err := tlslink.Listen(set.LinkAddr, ring.Server())
+	if err != nil {
+		return nil, nil, err
+	}
+	return tlslink.NewDialer(host, ring.Client(keys.RoleNode)), l, nil
+}
+
+// headerTimeout bounds the wait for a caller's request header.
+const headerTimeout = 10 * time.Second
+
+// callerServer returns the server for callers.
+func callerServer(h http.Handler) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         p,
+		MaxHeaderBytes:    ingress.MaxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       2 * time.Minute,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+}
+
+// sink passes announcements to the dispatcher, which refuses work at once, and
+// to the board, which tells the fleet.
+type sink struct{ n *Node }
+
+func (s sink) Announce(a announce.Announcement) {
+	s.n.dispatcher.Announce(a)
+	s.n.post(board.Announced{Announcement: a})
+}
+
+func (s sink) Withdraw(id fleet.UpstreamID) {
+	s.n.dispatcher.Withdraw(id)
+	s.n.post(board.Withdrawn{ID: id})
+}
+
+// postTimeout bounds the wait for a place in the board's backlog.
+const postTimeout = time.Second
+
+func (n *Node) post(e board.Event) {
+	ctx, cancel := context.WithTimeout(context.Background(), postTimeout)
+	defer cancel()
+	if err := n.board.Post(ctx, e); err != nil {
+		n.log.Error("board took no event", "event", fmt.Sprintf("%T", e), "fault", err)
+	}
+}
+
+// perform carries out the actions that the board's controllers ask for.
+func (n *Node) perform(a board.Action) {
+	switch a := a.(type) {
+	case board.PublishSelf:
+		n.members.SetLocal(a.Node)
+	case board.DropUpstream:
+		n.dispatcher.Withdraw(a.ID)
+	}
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	// Servers go on while the node leaves, so they do not end with ctx.
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, run := errgroup.WithContext(run)
+	g.Go(func() error { n.board.Run(run); return nil })
+	n.members.Subscribe(func(m fleet.Node) { n.post(board.NodeChanged{Node: m}) })
+	n.config.Subscribe(func(s *resource.Set) { n.post(board.ConfigChanged{Config: resource.Compile(s)}) })
+	g.Go(func() error { return n.mux.Serve(run, n.listener) })
+	g.Go(func() error { return n.config.Run(run) })
+	g.Go(func() error { return serve(n.callers, n.callerLn) })
+	g.Go(func() error { return serve(n.announcements, n.announceLn) })
+	if n.debug != nil {
+		g.Go(func() error { return serve(n.debug, n.debugLn) })
+	}
+	g.Go(func() error { n.maintain(run); return nil })
+	n.log.Info("node is up", "node", n.set.NodeID, "callers", n.callerLn.Addr(), "link", n.listener.Addr())
+	select {
+	case <-ctx.Done():
+	case <-run.Done():
+	}
+	err := n.leave()
+	stop()
+	return errors.Join(err, g.Wait())
+}
+
+func serve(s *http.Server, ln net.Listener) error {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// maintainInterval is the time between clean-ups of the ingress's tables.
+const maintainInterval = time.Minute
+
+func (n *Node) maintain(ctx context.Context) {
+	tick := time.NewTicker(maintainInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			n.ingress.Maintain(now)
+		}
+	}
+}
+
+// leave stops gracefully: it tells the fleet, refuses new work, and waits for
+// the work in hand.
+func (n *Node) leave() error {
+	n.log.Info("node is leaving")
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.DrainTimeout)
+	defer cancel()
+	n.post(board.LeaveRequested{})
+	err := n.members.Leave(ctx)
+	// Shutdown waits for requests in hand; connections that are idle or come
+	// new are closed, so that callers turn to other nodes.
+	err = errors.Join(err, n.callers.Shutdown(ctx))
+	err = errors.Join(err, n.ingress.Leave(ctx))
+	// Attempts from other nodes are refused only now that they know.
+	err = errors.Join(err, n.dispatcher.Leave(ctx))
+	err = errors.Join(err, n.announcements.Shutdown(ctx))
+	n.listener.Close()
+	n.dialer.Close()
+	n.members.Close()
+	if n.debug != nil {
+		n.debug.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("node: leave: %w", err)
+	}
+	n.log.Info("node has left")
+	return nil
+}
+
+// prefixed returns the logger of a part.
+func prefixed(l *slog.Logger, part string) *slog.Logger { return logging.Part(l, part) }
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Settings are the settings of a node. Each has a flag and an environment
+// variable of the same name.
+type Settings struct {
+	NodeID        string `flag:"node-id" usage:"name of this node, unique in the fleet and equal to the name in its certificate" validate:"required,max=128"`
+	Region        string `flag:"region" usage:"region of this VM" validate:"required,max=63"`
+	FailureDomain string `flag:"failure-domain" usage:"failure domain of this VM" validate:"required,max=63"`
+
+	CallerAddr   string `flag:"caller-addr" usage:"IP:port for callers, HTTP/1.1 and HTTP/2 without TLS" validate:"required,hostname_port"`
+	LinkAddr     string `flag:"link-addr" usage:"IP:port for streams from other processes of the fleet" validate:"required,hostname_port"`
+	GossipAddr   string `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
+	AnnounceAddr string `flag:"announce-addr" usage:"IP:port on loopback for announcements of this VM's upstreams" validate:"required,hostname_port"`
+	DebugAddr    string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
+
+	KeysDir      string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
+	Seeds        []string `flag:"seeds" usage:"link addresses of other nodes to join, comma-separated" validate:"dive,hostname_port"`
+	ControlAddrs []string `flag:"control-addrs" usage:"link addresses of the control VMs, comma-separated" validate:"dive,hostname_port"`
+
+	LinkTransport string `flag:"link-transport" usage:"transport between nodes" range:"tls or quic" validate:"oneof=tls quic"`
+	LinkConns     int    `flag:"link-conns" usage:"QUIC connections to each peer" range:"1 to 64" validate:"min=1,max=64"`
+
+	DrainTimeout time.Duration `flag:"drain-timeout" usage:"longest wait for requests in flight at a planned stop" range:"1s to 1h" validate:"min=1s,max=1h"`
+
+	LogLevel  string `flag:"log-level" usage:"least level logged" range:"debug, info, warn or error" validate:"oneof=debug info warn error"`
+	LogFormat string `flag:"log-format" usage:"format of log lines" range:"text or json" validate:"oneof=text json"`
+}
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{
+		LinkTransport: "tls",
+		LinkConns:     2,
+		DrainTimeout:  30 * time.Second,
+		LogLevel:      "info",
+		LogFormat:     "text",
+	}
+}
+
+// Check returns faults that concern more than one setting or need more than a
+// rule. Announcements and metrics have no authentication, so they are refused
+// outside of loopback.
+func (s *Settings) Check() error {
+	var faults []error
+	for _, a := range []struct{ flag, addr string }{{"announce-addr", s.AnnounceAddr}, {"debug-addr", s.DebugAddr}} {
+		if a.addr == "" {
+			continue
+		}
+		host, _, err := net.SplitHostPort(a.addr)
+		if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+			faults = append(faults, fmt.Errorf("-%s: %q is not a loopback IP address and port", a.flag, a.addr))
+		}
+	}
+	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"gossip-addr", s.GossipAddr}} {
+		host, _, err := net.SplitHostPort(a.addr)
+		if ip := net.ParseIP(host); err != nil || ip == nil || ip.IsUnspecified() {
+			faults = append(faults, fmt.Errorf("-%s: %q is not an IP address and port that others can reach", a.flag, a.addr))
+		}
+	}
+	return errors.Join(faults...)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/outcome"
 )
@@ -20,7 +21,7 @@
 	FrameAttempt   link.FrameType = 1 // AttemptHead
 	FrameData      link.FrameType = 2 // bytes of a body, in either direction
 	FrameEnd       link.FrameType = 3 // end of the request body; empty
-	FrameAck       link.FrameType = 4 // dispatcher has the attempt; empty
+	FrameAck       link.FrameType = 4 // dispatcher has the attempt; repeated while it goes on; empty
 	FrameAnswer    link.FrameType = 5 // AnswerHead
 	FrameAnswerEnd link.FrameType = 6 // AnswerEnd
 	FrameRelay     link.FrameType = 7 // RelayHead; then an attempt to pass on
@@ -47,6 +48,9 @@
 	Value string `cbor:"2,keyasint"`
 }
 
+// AckInterval is the time between acknowledgements of an attempt that goes on.
+const AckInterval = time.Second
+
 // AttemptHead opens an attempt.
 type AttemptHead struct {
 	AttemptID string `cbor:"1,keyasint"` // unique to this attempt
@@ -116,14 +120,20 @@
 	SlotsInUse int `cbor:"1,keyasint"`
 	Slots      int `cbor:"2,keyasint"`
 	Queued     int `cbor:"3,keyasint"`
-	// ShedLevel is the least urgent rank level still admitted; ShedShare is the
-	// share of that level's callers that is refused, from 0 to 1.
-	ShedLevel int     `cbor:"4,keyasint"`
-	ShedShare float64 `cbor:"5,keyasint"`
+	// ShedLevel, ShedShare and Refused are the admission threshold of the
+	// upstream's queue, see admission.Threshold.
+	ShedLevel int                      `cbor:"4,keyasint"`
+	ShedShare float64                  `cbor:"5,keyasint"`
+	Refused   []admission.RefusedShare `cbor:"7,keyasint,omitempty"`
 	// Suspect says that the dispatcher holds the upstream for unhealthy.
 	Suspect bool `cbor:"6,keyasint,omitempty"`
 }
 
+// Threshold returns the admission threshold in l.
+func (l *Load) Threshold() admission.Threshold {
+	return admission.Threshold{Level: l.ShedLevel, Share: l.ShedShare, Refused: l.Refused}
+}
+
 // RelayHead asks a node to pass the attempt that follows on to another node.
 // A node does not relay to a further relay.
 type RelayHead struct {
