Add the stand-in upstream

A run has a start line written before any work and an end line, so that a run cut off by a kill still counts.

--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,246 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxRequestBody is the largest request body that is read, in bytes.
+const maxRequestBody = 64 << 20
+
+// work is one request that runs.
+type work struct {
+	identity
+	run             uint64
+	key             string
+	method, path    string
+	body            []byte
+	started         time.Time
+	deadline        time.Time // zero: none
+	times           pathTimes
+	requestChecksum string
+}
+
+func (u *Standin) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		u.probe(w, r)
+		return
+	}
+	job := &work{
+		identity: identity{r.Header.Get(HeaderRequestID), r.Header.Get(HeaderWorkID)},
+		key:      r.Header.Get(HeaderKey),
+		method:   r.Method,
+		path:     r.URL.Path,
+		times:    u.timesOf(r.URL.Path),
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+	if err != nil {
+		// The request never arrived whole, so that it does not run.
+		http.Error(w, "request body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	job.body = body
+	job.requestChecksum = Checksum(body)
+	if reason := u.admit(job, r); reason != "" {
+		u.refuse(w, job, reason)
+		return
+	}
+	defer func() { <-u.slots }()
+	u.run(w, r, job)
+}
+
+// admit takes a slot for the job, or returns why it does not run.
+func (u *Standin) admit(job *work, r *http.Request) (reason string) {
+	if text := r.Header.Get(HeaderDeadlineMs); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 {
+			return NotRunDeadline
+		}
+		job.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	if u.Draining() {
+		u.counters.refusedDraining.Add(1)
+		return NotRunDraining
+	}
+	select {
+	case u.slots <- struct{}{}:
+		return ""
+	default:
+		u.counters.shed.Add(1)
+		return NotRunShed
+	}
+}
+
+func (u *Standin) refuse(w http.ResponseWriter, job *work, reason string) {
+	u.runs.write(u.event(EventRefused, job, reason))
+	w.Header().Set(HeaderNotRun, reason)
+	w.Header().Set(HeaderRequestID, job.requestID)
+	w.Header().Set(HeaderWorkID, job.workID)
+	u.closeIfDraining(w)
+	http.Error(w, "not run: "+reason, http.StatusServiceUnavailable)
+}
+
+func (u *Standin) event(t EventType, job *work, result string) Event {
+	return Event{
+		Event: t, At: time.Now(), Upstream: u.settings.ID, Run: job.run,
+		RequestID: job.requestID, WorkID: job.workID, Key: job.key,
+		Method: job.method, Path: job.path, Result: result,
+	}
+}
+
+func (u *Standin) run(w http.ResponseWriter, r *http.Request, job *work) {
+	job.run = u.runID.Add(1)
+	job.started = time.Now()
+	u.counters.started.Add(1)
+	u.counters.running.Add(1)
+	u.runs.write(u.event(EventStart, job, ""))
+	faults, _ := u.currentFaults()
+	if faults.CrashMarker != "" && bytes.Contains(job.body, []byte(faults.CrashMarker)) {
+		u.end(job, "crash")
+		u.log.Error("crashed by a request", "requestId", job.requestID, "workId", job.workID)
+		u.exit(ExitCrash)
+		return
+	}
+	status, result := u.work(r.Context(), job, &faults)
+	u.end(job, result)
+	if result == "canceled" {
+		panic(http.ErrAbortHandler)
+	}
+	if hit(faults.LateShare) {
+		time.Sleep(time.Duration(faults.LateMs) * time.Millisecond)
+	}
+	u.answer(w, job, status, &faults)
+}
+
+func (u *Standin) end(job *work, result string) {
+	e := u.event(EventEnd, job, result)
+	e.Started = &job.started
+	u.runs.write(e)
+	u.counters.running.Add(-1)
+	u.counters.ended.Add(1)
+}
+
+// work spends the service time, and returns the status to answer with and the
+// result for the run log.
+func (u *Standin) work(ctx context.Context, job *work, faults *Faults) (status int, result string) {
+	if !job.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, job.deadline)
+		defer cancel()
+	}
+	u.waitFrozen(ctx)
+	timer := time.NewTimer(u.serviceTime(job, faults))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	switch {
+	case ctx.Err() == context.DeadlineExceeded:
+		return http.StatusGatewayTimeout, "deadline"
+	case ctx.Err() != nil:
+		return 0, "canceled"
+	}
+	if status := faults.errorStatus(job.path); status != 0 {
+		return status, "error"
+	}
+	return http.StatusOK, "done"
+}
+
+// waitFrozen returns when the stand-in is not frozen or ctx has ended.
+func (u *Standin) waitFrozen(ctx context.Context) {
+	for {
+		faults, changed := u.currentFaults()
+		if !faults.Freeze {
+			return
+		}
+		// A flapping freeze ends without a change of the faults.
+		recheck := 100 * time.Millisecond
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(recheck):
+		}
+	}
+}
+
+func (u *Standin) serviceTime(job *work, faults *Faults) time.Duration {
+	d := job.times.base
+	if job.times.spread > 0 {
+		d += time.Duration(rand.Int64N(int64(job.times.spread)))
+	}
+	factor := u.coldFactor()
+	if faults.Slowness > 0 {
+		factor *= faults.Slowness
+	}
+	return time.Duration(float64(d) * factor)
+}
+
+func (u *Standin) timesOf(path string) pathTimes {
+	for _, p := range u.paths {
+		if strings.HasPrefix(path, p.prefix) {
+			return p
+		}
+	}
+	return pathTimes{}
+}
+
+func (u *Standin) answer(w http.ResponseWriter, job *work, status int, faults *Faults) {
+	id := job.identity
+	if earlier := u.previous.Swap(&id); earlier != nil && hit(faults.CrossShare) {
+		id = *earlier
+	}
+	body := Body(id.workID, job.times.bytes)
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderRequestID, id.requestID)
+	h.Set(HeaderWorkID, id.workID)
+	h.Set(HeaderBodyBytes, strconv.Itoa(len(body)))
+	h.Set(HeaderBodyChecksum, Checksum(body))
+	h.Set(HeaderRequestChecksum, job.requestChecksum)
+	h.Set(HeaderUpstream, u.settings.ID)
+	u.closeIfDraining(w)
+	w.WriteHeader(status)
+	if hit(faults.ShortShare) {
+		w.Write(body[:len(body)/2])
+		// Without the abort, the server would only notice a missing part of a
+		// body that does not fit its buffer.
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(body)
+}
+
+// closeIfDraining ends the connection after the answer, so that no request is
+// on its way on an idle connection when the process exits.
+func (u *Standin) closeIfDraining(w http.ResponseWriter) {
+	if u.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// probe serves /healthz. It waits for a slot and occupies it, as real work does.
+func (u *Standin) probe(w http.ResponseWriter, r *http.Request) {
+	u.counters.probes.Add(1)
+	select {
+	case u.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-u.slots }()
+	time.Sleep(u.settings.ProbeCost)
+	faults, _ := u.currentFaults()
+	if u.Draining() || !faults.healthy() {
+		http.Error(w, "sick", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
