Add the open-loop load generator

Cause: latency and outcomes must be measured at planned send times, and every answer must be checked, or stalls and crossed answers stay unseen.

--- /dev/null
+++ b/loadgen/report.go
@@ -0,0 +1,144 @@
+package loadgen
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latency holds quantiles of the answered requests, in milliseconds.
+type Latency struct {
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+}
+
+// KindReport is the result of one kind.
+type KindReport struct {
+	Kind string `json:"kind"`
+	Counts
+	LatencyMs Latency `json:"latencyMs"`
+}
+
+// PhaseReport is the result of the requests planned from From on.
+type PhaseReport struct {
+	From  time.Duration `json:"fromNs"`
+	Kinds []KindReport  `json:"kinds"`
+}
+
+// Report is the result of a load.
+type Report struct {
+	Seed     uint64        `json:"seed"`
+	Elapsed  time.Duration `json:"elapsedNs"`
+	Total    KindReport    `json:"total"`
+	Kinds    []KindReport  `json:"kinds"`
+	Phases   []PhaseReport `json:"phases,omitempty"` // if the rate changes
+	WarmUp   Counts        `json:"warmUp"`           // checked but not measured
+	Failures []string      `json:"failures"`         // checks that failed
+	// Samples explains the first faults of answers that were found.
+	Samples []string `json:"samples,omitempty"`
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Latency{
+		P50:  ms(h.ValueAtQuantile(50)),
+		P90:  ms(h.ValueAtQuantile(90)),
+		P99:  ms(h.ValueAtQuantile(99)),
+		P999: ms(h.ValueAtQuantile(99.9)),
+		Max:  ms(h.Max()),
+	}
+}
+
+func kindReport(name string, cells []*cell) KindReport {
+	counts := newCounts()
+	all := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for _, c := range cells {
+		c.mu.Lock()
+		counts.merge(&c.counts)
+		all.Merge(c.answered)
+		c.mu.Unlock()
+	}
+	return KindReport{Kind: name, Counts: counts, LatencyMs: latencyOf(all)}
+}
+
+// judge lists the checks that failed.
+func (r *Report) judge(s *Settings) {
+	r.Failures = []string{}
+	fail := func(format string, args ...any) { r.Failures = append(r.Failures, fmt.Sprintf(format, args...)) }
+	both := newCounts()
+	both.merge(&r.Total.Counts)
+	both.merge(&r.WarmUp)
+	if n := both.violations(); n > 0 {
+		fail("%d answers are wrong: %d crossed, %d short, %d altered, %d with contradicting headers",
+			n, both.Crossed, both.Short, both.Altered, both.Header)
+	}
+	limit := func(n, allowed int64, what string) {
+		if allowed >= 0 && n > allowed {
+			fail("%d %s, %d allowed", n, what, allowed)
+		}
+	}
+	limit(both.Transport+both.Cut, s.AllowBroken, "transport errors and cut answers")
+	limit(total(both.Unknown), s.AllowUnknown, "unknown outcomes")
+	limit(total(both.NotRun), s.AllowNotRun, "not-run outcomes")
+	limit(both.Errors, s.AllowErrors, "answers with a status of 500 or more")
+	limit(both.Overflow, s.AllowOverflow, "requests not sent for the bound in flight")
+	if t := &r.Total; t.Sent == 0 {
+		fail("no request was sent")
+	} else if share := float64(t.Answered) / float64(t.Sent); share < s.MinAnswered {
+		fail("%.4f of the requests were answered, %.4f required", share, s.MinAnswered)
+	}
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "kind\tsent\tanswered\terrors\tnot-run\tunknown\ttransport\tcut\tcrossed\tshort\taltered\theader\tresent\toverflow\tp50 ms\tp90\tp99\tp99.9\tmax")
+	for i := range r.Kinds {
+		r.Kinds[i].writeRow(t, r.Kinds[i].Kind)
+	}
+	r.Total.writeRow(t, r.Total.Kind)
+	for _, p := range r.Phases {
+		for i := range p.Kinds {
+			p.Kinds[i].writeRow(t, fmt.Sprintf("%s from %s", p.Kinds[i].Kind, p.From))
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("loadgen: report: %w", err)
+	}
+	fmt.Fprintf(w, "seed %d, %s, warm-up %d requests\n", r.Seed, r.Elapsed.Round(time.Millisecond), r.WarmUp.Sent)
+	for _, s := range r.Samples {
+		fmt.Fprintln(w, "sample:", s)
+	}
+	for _, f := range r.Failures {
+		fmt.Fprintln(w, "FAILED:", f)
+	}
+	return nil
+}
+
+func (k *KindReport) writeRow(w io.Writer, name string) {
+	l := &k.LatencyMs
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n",
+		name, k.Sent, k.Answered, k.Errors, reasons(k.NotRun), reasons(k.Unknown), k.Transport, k.Cut,
+		k.Crossed, k.Short, k.Altered, k.Header, k.Resent, k.Overflow, l.P50, l.P90, l.P99, l.P999, l.Max)
+}
+
+// reasons writes counts by reason as "3 (shed 2, draining 1)".
+func reasons(m map[string]int64) string {
+	if len(m) == 0 {
+		return "0"
+	}
+	var parts []string
+	for _, reason := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, m[reason]))
+	}
+	return fmt.Sprintf("%d (%s)", total(m), strings.Join(parts, ", "))
+}
--- /dev/null
+++ b/loadgen/send.go
@@ -0,0 +1,144 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/standin"
+)
+
+const answered = outcome.Answered
+
+const (
+	dialTimeout = 5 * time.Second
+	// maxIdlePerTarget keeps the connections of bursts for the next burst.
+	maxIdlePerTarget = 1024
+)
+
+// job is one request of a caller; all its attempts share the work id and key.
+type job struct {
+	kind *Kind
+	key  string
+	body []byte
+	sent sent
+}
+
+// attempt is one sending of a job.
+type attempt struct {
+	target    string
+	requestID string
+	status    int // 0: none arrived
+	verdict   verdict
+	sentAt    time.Time
+	latency   time.Duration
+}
+
+// sender sends attempts to its targets in turn.
+type sender struct {
+	targets []string
+	next    atomic.Uint64
+	client  *http.Client
+	direct  bool
+}
+
+func newSender(s *Settings) *sender {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerTarget,
+		DisableCompression:  true,
+	}
+	return &sender{
+		targets: s.Targets,
+		client:  &http.Client{Transport: transport, Timeout: s.Timeout},
+		direct:  s.Direct,
+	}
+}
+
+func (s *sender) close() { s.client.CloseIdleConnections() }
+
+func (s *sender) newJob(kind *Kind, workID string) *job {
+	j := &job{kind: kind, body: requestBody(kind, workID)}
+	j.sent = sent{workID: workID, checksum: standin.Checksum(j.body)}
+	if kind.Keyed {
+		// Version 7 carries the time, by which the proxy tells old keys.
+		j.key = uuid.Must(uuid.NewV7()).String()
+	}
+	return j
+}
+
+// requestBody returns the kind's fixed text, filled up to its size with bytes
+// of the work id.
+func requestBody(kind *Kind, workID string) []byte {
+	b := []byte(kind.Body)
+	if n := kind.BodyBytes - len(b); n > 0 {
+		b = append(b, standin.Body("request "+workID, n)...)
+	}
+	return b
+}
+
+// send makes one attempt and judges its answer.
+func (s *sender) send(j *job) attempt {
+	a := attempt{target: s.targets[(s.next.Add(1)-1)%uint64(len(s.targets))], sentAt: time.Now()}
+	req, err := s.newRequest(j, a.target)
+	if err != nil {
+		a.verdict = refused(FaultTransport, "%w", err)
+		return a
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		a.latency = time.Since(a.sentAt)
+		a.verdict = refused(FaultTransport, "%w", err)
+		return a
+	}
+	defer resp.Body.Close()
+	a.status = resp.StatusCode
+	a.requestID = resp.Header.Get(standin.HeaderRequestID)
+	body, err := io.ReadAll(resp.Body)
+	a.latency = time.Since(a.sentAt)
+	if err != nil {
+		a.verdict = refused(FaultCut, "after %d bytes: %w", len(body), err)
+		return a
+	}
+	a.verdict = check(&j.sent, &answer{resp.StatusCode, resp.Header, body}, s.direct)
+	return a
+}
+
+func (s *sender) newRequest(j *job, target string) (*http.Request, error) {
+	// net/http sends a request a second time on its own after a lost connection
+	// if it has no body or can rewind it, and is a GET or carries an
+	// Idempotency-Key. A body that it can't rewind prevents this, also if empty.
+	body := io.NopCloser(bytes.NewReader(j.body))
+	req, err := http.NewRequestWithContext(context.Background(), j.kind.Method, "http://"+target+j.kind.Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(j.body))
+	if j.kind.Host != "" {
+		req.Host = j.kind.Host
+	}
+	h := req.Header
+	h.Set(standin.HeaderWorkID, j.sent.workID)
+	if j.key != "" {
+		h.Set(standin.HeaderKey, j.key)
+	}
+	if j.kind.Caller != "" {
+		h.Set(headerCaller, j.kind.Caller)
+	}
+	if j.kind.TimeoutMs > 0 {
+		h.Set(headerTimeoutMs, strconv.FormatInt(j.kind.TimeoutMs, 10))
+	}
+	if s.direct {
+		j.sent.requestID = uuid.Must(uuid.NewV7()).String()
+		h.Set(standin.HeaderRequestID, j.sent.requestID)
+	}
+	return req, nil
+}
