Bound the handshakes of the TLS link

Every Open without an idle connection dialled, so a short stall became a storm of handshakes that kept the stall going. Change: at most 4 handshakes in progress per peer; a waiting Open takes whichever comes first, a new connection or one given back.

--- /dev/null
+++ b/cmd/godwithub-bench/main.go
@@ -0,0 +1,36 @@
+// Command godwithub-bench measures parts of the system on one machine.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/godwithub/godwithub/bench"
+	"github.com/godwithub/godwithub/version"
+)
+
+func main() {
+	duration := 10 * time.Second
+	flaggy.SetName("godwithub-bench")
+	flaggy.SetDescription("Measures parts of the system on one machine.")
+	flaggy.SetVersion(version.Version)
+	links := flaggy.NewSubcommand("links")
+	links.Description = "compare transports between nodes"
+	links.Duration(&duration, "", "duration", "length of each run")
+	flaggy.AttachSubcommand(links, 1)
+	flaggy.Parse()
+	var err error
+	switch {
+	case links.Used:
+		err = bench.Links{Rates: []int{200, 2000, 5000}, Duration: duration, QUICConns: []int{1, 2, 8}, Out: os.Stdout}.Run()
+	default:
+		flaggy.ShowHelpAndExit("a subcommand is needed")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/link/quiclink/quiclink.go
+++ b/link/quiclink/quiclink.go
@@ -260,9 +260,13 @@
 	s.s.CancelWrite(resetCode)
 }
 
+// Close ends both directions. The side that closes first asks the other to
+// send nothing more, and so the other's own Close may find its direction ended;
+// after a complete exchange that is no fault.
 func (s *stream) Close() error {
 	s.s.CancelRead(resetCode)
-	return s.s.Close()
+	s.s.Close()
+	return nil
 }
 
 func (s *stream) PeerName() string {
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 	// listener waits longer, so that the dialer is the one to close.
 	idleTimeout         = 60 * time.Second
 	listenerIdleTimeout = 90 * time.Second
+	// dialTimeout bounds a new connection with its TLS handshake.
+	dialTimeout = 2 * time.Second
+	// maxDialing bounds the handshakes in progress with one peer.
+	maxDialing = 4
 	// handshakeTimeout bounds the TLS handshake at the listener.
 	handshakeTimeout = 5 * time.Second
 	// readBuffer is the size of a connection's read buffer, in bytes.
@@ -34,14 +39,24 @@
 type Dialer struct {
 	dialer tls.Dialer
 
-	mu    sync.Mutex
-	idle  map[string][]idleConn // by address, the longest idle first
-	total int
-	// generation counts calls of Replace by address. A connection made before
-	// the last call is not kept.
-	generation map[string]int
-	closed     bool
-	stop       chan struct{}
+	mu     sync.Mutex
+	peers  map[string]*peer
+	idle   int // idle connections to all peers
+	// generations counts the generations given out to all peers.
+	generations int
+	closed bool
+	stop   chan struct{}
+}
+
+// peer is the pool of connections to one address.
+type peer struct {
+	idle []idleConn // the longest idle first
+	// waiters are calls of Open that wait for a connection, the oldest first.
+	waiters []chan dialed
+	dialing int
+	// generation changes with each call of Replace. A connection of an earlier
+	// generation is not kept.
+	generation int
 }
 
 type idleConn struct {
@@ -49,6 +64,12 @@
 	since time.Time
 }
 
+// dialed is what a waiting Open gets.
+type dialed struct {
+	conn *conn
+	err  error
+}
+
 // conn is a TLS connection with its read buffer.
 type conn struct {
 	*tls.Conn
@@ -62,6 +83,10 @@
 	return &conn{c, link.NewFrameReader(br), br, generation}
 }
 
+// abort closes the TCP connection without the closing alert of TLS, whose write
+// could block on a connection gone silent.
+func (c *conn) abort() { c.NetConn().Close() }
+
 // NewDialer returns a dialer that connects from localIP, or from any address
 // if localIP is empty.
 func NewDialer(localIP string, c *tls.Config) *Dialer {
@@ -70,78 +95,149 @@
 		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
 	}
 	d := &Dialer{
-		dialer:     tls.Dialer{NetDialer: nd, Config: c},
-		idle:       map[string][]idleConn{},
-		generation: map[string]int{},
-		stop:       make(chan struct{}),
+		dialer: tls.Dialer{NetDialer: nd, Config: c},
+		peers:  map[string]*peer{},
+		stop:   make(chan struct{}),
 	}
 	go d.closeIdle()
 	return d
 }
 
-// Open implements link.Dialer.
+// Open implements link.Dialer. It takes an idle connection, or else whichever
+// comes first: a new connection, or one that another exchange gives back.
+// Dialling for each waiting call without a bound would let a short stall turn
+// into a storm of handshakes that keeps the stall going.
 func (d *Dialer) Open(ctx context.Context, addr string) (link.Stream, error) {
-	c, generation, err := d.take(addr)
+	c, wait, err := d.take(addr)
 	if err != nil {
 		return nil, err
 	}
 	if c == nil {
-		nc, err := d.dialer.DialContext(ctx, "tcp", addr)
-		if err != nil {
+		select {
+		case r := <-wait:
+			c, err = r.conn, r.err
+		case <-ctx.Done():
+			c, err = d.stopWaiting(addr, wait), ctx.Err()
+		}
+		if c == nil {
 			return nil, fmt.Errorf("tlslink: dial %s: %w", addr, err)
 		}
-		c = newConn(nc.(*tls.Conn), generation)
 	}
 	return &stream{conn: c, done: func() { d.put(addr, c) }}, nil
 }
 
-func (d *Dialer) take(addr string) (*conn, int, error) {
+// take returns an idle connection, or a channel that will bring one.
+func (d *Dialer) take(addr string) (*conn, chan dialed, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
-		return nil, 0, link.ErrClosed
+		return nil, nil, link.ErrClosed
 	}
-	list := d.idle[addr]
-	if len(list) == 0 {
-		return nil, d.generation[addr], nil
+	p := d.peers[addr]
+	if p == nil {
+		d.generations++
+		p = &peer{generation: d.generations}
+		d.peers[addr] = p
 	}
-	// The most recently used connection is the least likely to be closed by
-	// the other side, and lets the rest run into the idle timeout.
-	c := list[len(list)-1].conn
-	d.setIdle(addr, list[:len(list)-1])
-	return c, 0, nil
+	if n := len(p.idle); n > 0 {
+		// The most recently used connection is the least likely to be closed by
+		// the other side, and lets the rest run into the idle timeout.
+		c := p.idle[n-1].conn
+		p.idle = p.idle[:n-1]
+		d.idle--
+		return c, nil, nil
+	}
+	wait := make(chan dialed, 1)
+	p.waiters = append(p.waiters, wait)
+	d.dial(addr, p)
+	return nil, wait, nil
 }
 
-// setIdle replaces the idle list of addr. d.mu is held.
-func (d *Dialer) setIdle(addr string, list []idleConn) {
-	d.total += len(list) - len(d.idle[addr])
-	if len(list) == 0 {
-		delete(d.idle, addr)
-		return
+// dial starts as many dials as are allowed and waited for. d.mu is held.
+func (d *Dialer) dial(addr string, p *peer) {
+	for p.dialing < min(maxDialing, len(p.waiters)) {
+		p.dialing++
+		generation := p.generation
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+			defer cancel()
+			nc, err := d.dialer.DialContext(ctx, "tcp", addr)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			p.dialing--
+			if err != nil {
+				p.hand(dialed{err: err})
+			} else if c := newConn(nc.(*tls.Conn), generation); !p.hand(dialed{conn: c}) {
+				d.keep(p, c)
+			}
+			d.dial(addr, p)
+		}()
 	}
-	d.idle[addr] = list
+}
+
+// hand gives r to the longest waiting Open, if any. The dialer's mu is held.
+func (p *peer) hand(r dialed) bool {
+	if len(p.waiters) == 0 {
+		return false
+	}
+	p.waiters[0] <- r
+	p.waiters = p.waiters[1:]
+	return true
+}
+
+// stopWaiting withdraws a waiting Open whose context ended. A connection that
+// came in the meantime is kept by the caller.
+func (d *Dialer) stopWaiting(addr string, wait chan dialed) *conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// A peer with a waiter is never dropped.
+	p := d.peers[addr]
+	if i := slices.Index(p.waiters, wait); i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		return nil
+	}
+	return (<-wait).conn
 }
 
 func (d *Dialer) put(addr string, c *conn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := d.idle[addr]
-	if d.closed || c.generation != d.generation[addr] || len(list) >= maxIdlePerPeer || d.total >= maxIdleTotal {
-		c.Close()
+	p := d.peers[addr]
+	if d.closed || p == nil || c.generation != p.generation {
+		c.abort()
 		return
 	}
-	d.setIdle(addr, append(list, idleConn{c, time.Now()}))
+	if !p.hand(dialed{conn: c}) {
+		d.keep(p, c)
+	}
+}
+
+// keep adds c to the idle connections, or closes it if there are enough. d.mu
+// is held.
+func (d *Dialer) keep(p *peer, c *conn) {
+	if d.closed || c.generation != p.generation || len(p.idle) >= maxIdlePerPeer || d.idle >= maxIdleTotal {
+		c.abort()
+		return
+	}
+	p.idle = append(p.idle, idleConn{c, time.Now()})
+	d.idle++
 }
 
 // Replace implements link.Dialer.
 func (d *Dialer) Replace(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.generation[addr]++
-	for _, i := range d.idle[addr] {
-		i.conn.NetConn().Close()
+	p := d.peers[addr]
+	if p == nil {
+		return
 	}
-	d.setIdle(addr, nil)
+	d.generations++
+	p.generation = d.generations
+	for _, i := range p.idle {
+		i.conn.abort()
+	}
+	d.idle -= len(p.idle)
+	p.idle = nil
 }
 
 func (d *Dialer) closeIdle() {
@@ -160,13 +256,17 @@
 func (d *Dialer) closeIdleSince(limit time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for addr, list := range d.idle {
+	for addr, p := range d.peers {
 		n := 0
-		for n < len(list) && list[n].since.Before(limit) {
-			list[n].conn.Close()
+		for n < len(p.idle) && p.idle[n].since.Before(limit) {
+			p.idle[n].conn.abort()
 			n++
 		}
-		d.setIdle(addr, list[n:])
+		p.idle = slices.Delete(p.idle, 0, n)
+		d.idle -= n
+		if len(p.idle)+len(p.waiters)+p.dialing == 0 {
+			delete(d.peers, addr)
+		}
 	}
 }
 
@@ -179,11 +279,12 @@
 	}
 	d.closed = true
 	close(d.stop)
-	for addr, list := range d.idle {
-		for _, i := range list {
-			i.conn.Close()
+	for _, p := range d.peers {
+		for _, i := range p.idle {
+			i.conn.abort()
 		}
-		d.setIdle(addr, nil)
+		d.idle -= len(p.idle)
+		p.idle = nil
 	}
 	return nil
 }
@@ -304,9 +405,7 @@
 
 func (s *stream) Reset() {
 	s.once.Do(func() {
-		// Closing the TCP connection directly skips the TLS closing alert,
-		// whose write could block on a silent connection.
-		s.conn.NetConn().Close()
+		s.conn.abort()
 		if s.broken != nil {
 			s.broken()
 		}
--- /dev/null
+++ b/node/new.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/dispatch"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/ingress"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// Parts is what membership and configuration are built on.
+type Parts struct {
+	Self   fleet.Node
+	Ring   *keys.Ring
+	Mux    *link.Mux
+	Dialer link.Dialer
+	Log    *slog.Logger
+}
+
+// Join connects a node to membership and configuration.
+type Join func(Parts) (Membership, ConfigSource, error)
+
+// New opens the node's addresses. Run serves them.
+func New(set Settings, log *slog.Logger, join Join) (*Node, error) {
+	ring, err := keys.Load(set.KeysDir)
+	if err != nil {
+		return nil, err
+	}
+	if ring.Name != set.NodeID {
+		return nil, fmt.Errorf("node: node-id is %q but the certificate is for %q", set.NodeID, ring.Name)
+	}
+	n := &Node{set: set, log: prefixed(log, "node")}
+	if n.dialer, n.listener, err = newLink(&set, ring); err != nil {
+		return nil, err
+	}
+	self := fleet.Node{
+		ID:            fleet.NodeID(set.NodeID),
+		Incarnation:   uint64(time.Now().UnixMilli()),
+		Region:        set.Region,
+		FailureDomain: set.FailureDomain,
+		LinkAddr:      set.LinkAddr,
+		GossipAddr:    set.GossipAddr,
+	}
+	n.board = board.New(self, prefixed(log, "board"), n.perform, board.Controllers()...)
+	n.mux = link.NewMux(prefixed(log, "link"))
+	n.buildTraffic(log)
+	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log})
+	if err != nil {
+		return nil, err
+	}
+	return n, n.listen(log)
+}
+
+func (n *Node) buildTraffic(log *slog.Logger) {
+	configuration := func() *resource.Config { return n.board.View().Config }
+	n.dispatcher = dispatch.New(dispatch.Config{
+		Log:           prefixed(log, "dispatch"),
+		Dialer:        n.dialer,
+		Configuration: configuration,
+		Observe:       func(dispatch.Observation) {},
+	})
+	n.dispatcher.Register(n.mux)
+	n.ingress = ingress.New(ingress.Config{
+		Log:    prefixed(log, "ingress"),
+		View:   n.board.View,
+		Dialer: n.dialer,
+	})
+}
+
+func (n *Node) listen(log *slog.Logger) error {
+	var err error
+	if n.callerLn, err = net.Listen("tcp", n.set.CallerAddr); err != nil {
+		return fmt.Errorf("node: caller address: %w", err)
+	}
+	n.callers = callerServer(n.ingress)
+	if n.announceLn, err = net.Listen("tcp", n.set.AnnounceAddr); err != nil {
+		return fmt.Errorf("node: announce address: %w", err)
+	}
+	n.announcements = &http.Server{
+		Handler:           announce.Handler(sink{n}, prefixed(log, "announce")),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	if n.set.DebugAddr == "" {
+		return nil
+	}
+	if n.debugLn, err = net.Listen("tcp", n.set.DebugAddr); err != nil {
+		return fmt.Errorf("node: debug address: %w", err)
+	}
+	n.debug = &http.Server{Handler: n.debugHandler(), ReadHeaderTimeout: headerTimeout}
+	return nil
+}
