ejection: add the ledger of ejection permits

Cause: ejection must never take healthy capacity below the service's floor, also in partitions and with proposers whose clocks differ. Change: Ledger, a deterministic state machine with leases, permits against the floor, return of the least sick, hold-down that doubles and decays, trial and slow start.

--- /dev/null
+++ b/ejection/ledger_test.go
@@ -0,0 +1,170 @@
+package ejection
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/fleet"
+)
+
+// run drives a ledger with commands of two nodes whose clocks differ.
+type run struct {
+	l  *Ledger
+	ms int64
+}
+
+func (r *run) apply(t assert.TestingT, c Command) Result {
+	c.Service = "shop"
+	c.At = r.ms
+	if c.Node == "n2" {
+		c.At += 5_000_000
+	}
+	b, err := Encode(c)
+	assert.NilError(t, err)
+	result, err := DecodeResult(r.l.Apply(0, b))
+	assert.NilError(t, err)
+	return result
+}
+
+func (r *run) register(t assert.TestingT, node fleet.NodeID, ids ...fleet.UpstreamID) Result {
+	c := Command{Operation: OpRegister, Node: node, LeaseMs: 10_000}
+	for _, id := range ids {
+		c.Upstreams = append(c.Upstreams, Registration{Upstream: id})
+	}
+	return r.apply(t, c)
+}
+
+func drawCommand(t *rapid.T) Command {
+	c := Command{
+		Operation: Operation(rapid.IntRange(0, 5).Draw(t, "operation")),
+		Node:      rapid.SampledFrom([]fleet.NodeID{"n1", "n2"}).Draw(t, "node"),
+		Floor:     rapid.IntRange(0, 4).Draw(t, "floor"),
+		Revision:  rapid.Uint64Range(0, 5).Draw(t, "revision"),
+		LeaseMs:   rapid.Int64Range(0, 60_000).Draw(t, "lease"),
+		Upstream:  rapid.SampledFrom([]fleet.UpstreamID{"a", "b", "c", "d", "e", "f"}).Draw(t, "upstream"),
+		Severity:  rapid.Float64Range(0, 1).Draw(t, "severity"),
+		Trial:     rapid.Uint64Range(0, 3).Draw(t, "trial"),
+		Passed:    rapid.Bool().Draw(t, "passed"),
+	}
+	ids := map[fleet.NodeID][]fleet.UpstreamID{"n1": {"a", "b", "c"}, "n2": {"d", "e", "f"}}[c.Node]
+	for _, id := range ids {
+		if rapid.IntRange(0, 5).Draw(t, "listed") > 0 {
+			c.Upstreams = append(c.Upstreams, Registration{
+				Upstream: id,
+				WarmInMs: rapid.SampledFrom([]int64{0, 0, 3000}).Draw(t, "warm"),
+				Draining: rapid.IntRange(0, 5).Draw(t, "draining") == 0,
+			})
+		}
+	}
+	return c
+}
+
+// Guards against a permit that takes capacity below the floor, against
+// capacity that stays below it while an ejected upstream could serve, and
+// against replicas that differ after a snapshot.
+func TestFloorHoldsForEverySequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &run{l: New()}
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			r.ms += rapid.SampledFrom([]int64{0, 100, 2000, 40_000}).Draw(t, "ms")
+			c := drawCommand(t)
+			before := snapshot(t, r.l)
+			twin := &run{l: New(), ms: r.ms}
+			assert.NilError(t, twin.l.Restore(before))
+			result := r.apply(t, c)
+			assert.DeepEqual(t, twin.apply(t, c), result)
+			assert.DeepEqual(t, snapshot(t, twin.l), snapshot(t, r.l))
+			checkFloor(t, r.l, c, result)
+		}
+	})
+}
+
+func checkFloor(t *rapid.T, l *Ledger, c Command, result Result) {
+	s, now := l.state.Services["shop"], l.state.Now
+	capacity, usable := 0, 0
+	for _, u := range s.Upstreams {
+		if now < u.LeaseUntil && now >= u.WarmAt && !u.Draining {
+			usable++
+			if u.State == InService {
+				capacity++
+			}
+		}
+	}
+	assert.Equal(t, result.Capacity, capacity)
+	if c.Operation == OpEject && result.Denial == Granted {
+		assert.Assert(t, capacity >= s.Floor && s.Floor > 0, "capacity %d, floor %d", capacity, s.Floor)
+		assert.Equal(t, s.Upstreams[c.Upstream].State, Ejected)
+	}
+	assert.Assert(t, capacity >= min(s.Floor, usable), "capacity %d, usable %d, floor %d", capacity, usable, s.Floor)
+}
+
+func snapshot(t *rapid.T, l *Ledger) []byte {
+	b, err := l.Snapshot()
+	assert.NilError(t, err)
+	return b
+}
+
+// Guards against a wrong upstream that returns when capacity falls.
+func TestLeastSickReturnsFirst(t *testing.T) {
+	r := &run{l: New()}
+	r.apply(t, Command{Operation: OpSetFloor, Node: "n1", Floor: 2})
+	r.register(t, "n1", "a", "b")
+	r.register(t, "n2", "c", "d")
+	assert.Equal(t, r.apply(t, Command{Operation: OpEject, Node: "n1", Upstream: "a", Severity: 0.9}).Denial, Granted)
+	assert.Equal(t, r.apply(t, Command{Operation: OpEject, Node: "n1", Upstream: "b", Severity: 0.2}).Denial, Granted)
+	assert.Equal(t, r.apply(t, Command{Operation: OpEject, Node: "n2", Upstream: "c", Severity: 0.9}).Denial, DeniedFloor)
+	result := r.register(t, "n2", "c")
+	assert.Equal(t, result.Capacity, 2)
+	states := r.register(t, "n1", "a", "b").Upstreams
+	assert.Equal(t, states[0].State, Ejected)
+	assert.Equal(t, states[1].State, InService)
+}
+
+// Guards against a hold-down that doesn't grow on flapping or never decays,
+// and against a late trial result that ends another trial.
+func TestHoldDownDoublesAndDecays(t *testing.T) {
+	r := &run{l: New()}
+	r.apply(t, Command{Operation: OpSetFloor, Node: "n1", Floor: 1})
+	wait := func(d time.Duration) (result Result) {
+		for end := r.ms + d.Milliseconds(); r.ms < end; {
+			r.ms += 1000
+			result = r.register(t, "n1", "a", "b")
+		}
+		return result
+	}
+	eject := func() time.Duration {
+		wait(time.Second)
+		result := r.apply(t, Command{Operation: OpEject, Node: "n1", Upstream: "a"})
+		assert.Equal(t, result.Denial, Granted)
+		return time.Duration(result.Upstreams[0].RemainingMs) * time.Millisecond
+	}
+	pass := func(trial uint64) Denial {
+		return r.apply(t, Command{Operation: OpTrial, Node: "n1", Upstream: "a", Trial: trial, Passed: true}).Denial
+	}
+	assert.Equal(t, eject(), baseHold)
+	assert.Equal(t, wait(baseHold).Upstreams[0].State, OnTrial)
+	assert.Equal(t, pass(1), Granted)
+	assert.Equal(t, wait(slowStart).Upstreams[0].State, InService)
+	assert.Equal(t, eject(), 2*baseHold)
+	wait(2 * baseHold)
+	assert.Equal(t, pass(1), DeniedStale)
+	assert.Equal(t, pass(2), Granted)
+	wait(slowStart + 2*holdDecay)
+	assert.Equal(t, eject(), baseHold)
+}
+
+// Guards against a clock that jumps and ends all leases, or a command of
+// another version that makes the ledger panic.
+func TestOddCommands(t *testing.T) {
+	r := &run{l: New()}
+	r.register(t, "n1", "b")
+	r.register(t, "n2", "a")
+	r.ms += time.Hour.Milliseconds()
+	assert.Equal(t, r.register(t, "n1", "b").Capacity, 2)
+	result, err := DecodeResult(r.l.Apply(0, []byte{0xff}))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Denial, DeniedMalformed)
+}
