crash: recognise requests that crash upstreams

Cause: a request that crashes each upstream that runs it must not take the service down, nor its crashes count against the upstreams.

--- /dev/null
+++ b/crash/crash_test.go
@@ -0,0 +1,43 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a request that goes on to crash upstreams, and against one
+// that is refused because a single upstream crashed repeatedly.
+func TestRefusesAfterTwoUpstreams(t *testing.T) {
+	tr := New()
+	assert.Equal(t, len(tr.Report(start, Crash{"a", []Fingerprint{1, 2}})), 0)
+	assert.Equal(t, len(tr.Report(start, Crash{"a", []Fingerprint{1, 2}})), 0)
+	assert.Assert(t, !tr.Refused(start, 1))
+	assert.DeepEqual(t, tr.Report(start, Crash{"b", []Fingerprint{3, 1}}), []Fingerprint{1})
+	assert.Assert(t, tr.Refused(start, 1) && !tr.Refused(start, 2) && !tr.Refused(start, 3))
+	assert.Assert(t, tr.Explains(start, []Fingerprint{9, 1}) && !tr.Explains(start, []Fingerprint{2, 3}))
+	assert.Assert(t, !tr.Refused(start.Add(Refusal), 1))
+}
+
+// Guards against a frequent request that is refused because it was in flight
+// at unrelated crashes.
+func TestCompletionClears(t *testing.T) {
+	tr := New()
+	tr.Report(start, Crash{"a", []Fingerprint{1}})
+	tr.Completed(1)
+	assert.Equal(t, len(tr.Report(start, Crash{"b", []Fingerprint{1}})), 0)
+}
+
+// Guards against memory that grows with the number of crashes.
+func TestMemoryIsBounded(t *testing.T) {
+	tr := New()
+	for f := range Fingerprint(3 * maxFingerprints) {
+		tr.Report(start, Crash{"a", []Fingerprint{f}})
+	}
+	assert.Equal(t, tr.Len(), maxFingerprints)
+	tr.Report(start.Add(Memory), Crash{"a", []Fingerprint{1}})
+	assert.Equal(t, tr.Len(), 1)
+}
