Judge upstreams by their work and recognise crashing requests

Cause: dispatchers saw results but nothing was decided from them. Change: the board's evidence section runs the sequential tests, sends each interval's summaries to the aggregator of the service and marks suspects; crashes are reported to the other dispatchers of the service and requests that crashed two upstreams are refused. Measured: unit tests only; detection in a running fleet is not measured yet. Conclusion: suspicion works on one node; ejection permits need the groups.

--- a/board/board.go
+++ b/board/board.go
@@ -41,10 +41,11 @@
 		perform:     perform,
 		events:      make(chan Event, eventBacklog),
 		state: State{
-			Self:    self,
-			Nodes:   map[fleet.NodeID]fleet.Node{},
-			Local:   map[fleet.UpstreamID]*LocalUpstream{},
-			changed: map[string]bool{},
+			Self:     self,
+			Nodes:    map[fleet.NodeID]fleet.Node{},
+			Local:    map[fleet.UpstreamID]*LocalUpstream{},
+			Evidence: newEvidence(),
+			changed:  map[string]bool{},
 		},
 	}
 	b.view.Store(&View{Self: self})
--- a/board/controllers.go
+++ b/board/controllers.go
@@ -10,7 +10,7 @@
 
 // Controllers returns the controllers of a node in the order in which they run.
 func Controllers() []Controller {
-	return []Controller{followConfig, followNodes, keepLeases, judge, leave, publishSelf}
+	return []Controller{followConfig, followNodes, keepLeases, weighEvidence, leave, publishSelf}
 }
 
 // followConfig puts newer configurations in force.
@@ -85,17 +85,6 @@
 	s.Do(DropUpstream{id})
 }
 
-// judge records verdicts on upstreams of this VM.
-func judge(s *State, e Event, _ time.Time) {
-	j, ok := e.(Judged)
-	if !ok {
-		return
-	}
-	if u := s.Local[j.ID]; u != nil {
-		u.Suspect, u.Ejected = j.Suspect, j.Ejected
-	}
-}
-
 // leave begins a planned stop.
 func leave(s *State, e Event, _ time.Time) {
 	if _, ok := e.(LeaveRequested); ok {
--- a/board/state.go
+++ b/board/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/resource"
 )
 
@@ -21,6 +22,8 @@
 	Nodes map[fleet.NodeID]fleet.Node
 	// Local holds the upstreams of this VM.
 	Local map[fleet.UpstreamID]*LocalUpstream
+	// Evidence judges the upstreams of this VM.
+	Evidence Evidence
 
 	// changed collects the services whose upstreams changed since the last
 	// publication.
@@ -36,6 +39,8 @@
 	LeaseEnds time.Time
 	Suspect   bool
 	Ejected   bool
+	// Verdict is the latest judgement of its work.
+	Verdict health.Verdict
 }
 
 // State returns what the fleet is told of the upstream at now.
@@ -74,12 +79,6 @@
 	Announced struct{ Announcement announce.Announcement }
 	// Withdrawn says that an upstream has gone.
 	Withdrawn struct{ ID fleet.UpstreamID }
-	// Judged brings a verdict on an upstream of this VM.
-	Judged struct {
-		ID      fleet.UpstreamID
-		Suspect bool
-		Ejected bool
-	}
 	// LeaveRequested begins a planned stop.
 	LeaveRequested struct{}
 )
@@ -89,7 +88,6 @@
 func (NodeChanged) isEvent()    {}
 func (Announced) isEvent()      {}
 func (Withdrawn) isEvent()      {}
-func (Judged) isEvent()         {}
 func (LeaveRequested) isEvent() {}
 
 // Action is something that a controller wants done outside the board.
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -12,17 +12,22 @@
 const crashProbeTimeout = 200 * time.Millisecond
 
 // checkCrash reports the requests in flight at u if it no longer accepts
-// connections. It is called before the request that found the broken
-// connection gives its slot back.
-func (d *Dispatcher) checkCrash(u *upstream) {
+// connections, and tells whether that is so. It is called before the request
+// that found the broken connection gives its slot back.
+func (d *Dispatcher) checkCrash(u *upstream) bool {
 	inFlight := u.inFlight()
 	conn, err := net.DialTimeout("tcp", u.addr, crashProbeTimeout)
 	if err == nil {
 		conn.Close()
-		return
+		return false
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		d.log.Warn("upstream crashed", "upstream", u.id, "in_flight", len(inFlight))
-		d.cfg.Crashes.Crashed(u.id, inFlight)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
 	}
+	u.setDown(true)
+	d.log.Warn("upstream crashed", "upstream", u.id, "in_flight", len(inFlight))
+	if d.cfg.Crashes != nil {
+		d.cfg.Crashes.Crashed(u.id, u.service, inFlight)
+	}
+	return true
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -32,12 +32,14 @@
 	Crashes Crashes
 }
 
-// Crashes keeps account of requests in flight when an upstream crashes.
+// Crashes keeps account of requests that were in flight when upstreams crashed.
 type Crashes interface {
-	// Refused reports whether a request with this fingerprint is refused.
+	// Refused reports whether a request with this fingerprint must not run.
 	Refused(fingerprint uint64) bool
 	// Crashed reports the requests in flight at a crash of an upstream.
-	Crashed(upstream fleet.UpstreamID, inFlight []uint64)
+	Crashed(upstream fleet.UpstreamID, service string, inFlight []uint64)
+	// Completed reports that a request was answered.
+	Completed(fingerprint uint64)
 }
 
 // Result is how an upstream dealt with one attempt.
@@ -49,7 +51,7 @@
 	ResultError          // answered with status 500 or above
 	ResultTimeout        // no answer by the deadline
 	ResultBroken         // connection lost, or answer short or crossed
-	ResultRefused        // shed or not connected; it did not run
+	ResultRefused        // shed, not connected, or the upstream crashed; no evidence
 )
 
 // Observation is evidence from one attempt.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -81,8 +81,13 @@
 	began := time.Now()
 	e, result := d.exchange(a, u, head, body, c, w)
 	service := time.Since(began)
-	if result == ResultBroken && d.cfg.Crashes != nil {
-		d.checkCrash(u)
+	if result == ResultBroken && d.checkCrash(u) {
+		// A crash shows by itself; it is no sign of a gray failure.
+		result = ResultRefused
+	}
+	u.noteConnect(e)
+	if d.cfg.Crashes != nil && e.Outcome == outcome.Answered {
+		d.cfg.Crashes.Completed(head.Fingerprint)
 	}
 	u.release(ticket, max(service, 1))
 	c.finish(e, a)
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -39,9 +39,13 @@
 	draining bool
 	closed   bool
 	suspect  bool
-	queue    *admission.Queue
-	waiting  map[uint64]chan outcome.Ended
-	nextID   uint64
+	// down says that the upstream refused a connection. Until it answers or
+	// announces itself again, ingresses are told to avoid it: it has free slots
+	// and would draw work only to refuse it.
+	down    bool
+	queue   *admission.Queue
+	waiting map[uint64]chan outcome.Ended
+	nextID  uint64
 	// running holds the fingerprints of the requests at the upstream.
 	running map[uint64]uint64
 }
@@ -67,6 +71,7 @@
 	u.slots = min(a.Slots, a.Connections)
 	u.queue.SetSlots(u.slots)
 	u.draining = a.Draining
+	u.down = false
 	if u.draining {
 		u.refuseQueue(outcome.ReasonDraining)
 	}
@@ -206,6 +211,22 @@
 	return true
 }
 
+func (u *upstream) setDown(down bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.down = down
+}
+
+// noteConnect keeps account of whether the upstream accepts connections.
+func (u *upstream) noteConnect(e outcome.Ended) {
+	switch {
+	case e.Outcome == outcome.Answered:
+		u.setDown(false)
+	case e == outcome.HasNotRun(outcome.ReasonConnect):
+		u.setDown(true)
+	}
+}
+
 // inFlight returns the fingerprints of the requests at the upstream.
 func (u *upstream) inFlight() []uint64 {
 	u.mu.Lock()
@@ -229,7 +250,7 @@
 		ShedLevel:  threshold.Level,
 		ShedShare:  threshold.Share,
 		Refused:    threshold.Refused,
-		Suspect:    u.suspect,
+		Suspect:    u.suspect || u.down,
 	}
 }
 
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -39,13 +39,13 @@
 type Dialer struct {
 	dialer tls.Dialer
 
-	mu     sync.Mutex
-	peers  map[string]*peer
-	idle   int // idle connections to all peers
+	mu    sync.Mutex
+	peers map[string]*peer
+	idle  int // idle connections to all peers
 	// generations counts the generations given out to all peers.
 	generations int
-	closed bool
-	stop   chan struct{}
+	closed      bool
+	stop        chan struct{}
 }
 
 // peer is the pool of connections to one address.
--- a/node/debug.go
+++ b/node/debug.go
@@ -18,6 +18,7 @@
 	vars := map[string]expvar.Var{
 		"ingress":  n.ingress.Metrics(),
 		"dispatch": n.dispatcher.Metrics(),
+		"evidence": expvar.Func(func() any { return map[string]int64{"dropped": n.dropped.Value()} }),
 		"memstats": expvar.Get("memstats"),
 	}
 	mux := http.NewServeMux()
--- a/node/new.go
+++ b/node/new.go
@@ -15,6 +15,7 @@
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
 )
 
 // Parts is what membership and configuration are built on.
@@ -38,7 +39,12 @@
 	if ring.Name != set.NodeID {
 		return nil, fmt.Errorf("node: node-id is %q but the certificate is for %q", set.NodeID, ring.Name)
 	}
-	n := &Node{set: set, log: prefixed(log, "node")}
+	n := &Node{
+		set:          set,
+		log:          prefixed(log, "node"),
+		observations: make(chan dispatch.Observation, observationBacklog),
+	}
+	n.crashes = newCrashes(n.spreadCrash)
 	if n.dialer, n.listener, err = newLink(&set, ring); err != nil {
 		return nil, err
 	}
@@ -66,9 +72,12 @@
 		Log:           prefixed(log, "dispatch"),
 		Dialer:        n.dialer,
 		Configuration: configuration,
-		Observe:       func(dispatch.Observation) {},
+		Observe:       n.observe,
+		Crashes:       n.crashes,
 	})
 	n.dispatcher.Register(n.mux)
+	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
+	n.mux.Handle(wire.FrameCrash, n.serveCrash)
 	n.ingress = ingress.New(ingress.Config{
 		Log:    prefixed(log, "ingress"),
 		View:   n.board.View,
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net"
@@ -39,6 +40,12 @@
 	listener   link.Listener
 	members    Membership
 	config     ConfigSource
+	crashes    *crashes
+
+	observations chan dispatch.Observation
+	dropped      expvar.Int // observations
+	// background ends the exchanges that the board asks for.
+	background context.Context
 
 	callers, announcements, debug *http.Server
 	callerLn, announceLn, debugLn net.Listener
@@ -135,6 +142,10 @@
 		n.members.SetLocal(a.Node)
 	case board.DropUpstream:
 		n.dispatcher.Withdraw(a.ID)
+	case board.MarkSuspect:
+		n.dispatcher.SetSuspect(a.ID, a.Suspect)
+	case board.SendSummaries:
+		go n.sendSummaries(n.background, a)
 	}
 }
 
@@ -144,7 +155,9 @@
 	run, stop := context.WithCancel(context.Background())
 	defer stop()
 	g, run := errgroup.WithContext(run)
+	n.background = run
 	g.Go(func() error { n.board.Run(run); return nil })
+	g.Go(func() error { n.batchObservations(run); return nil })
 	n.members.Subscribe(func(m fleet.Node) { n.post(board.NodeChanged{Node: m}) })
 	n.config.Subscribe(func(s *resource.Set) { n.post(board.ConfigChanged{Config: resource.Compile(s)}) })
 	g.Go(func() error { return n.mux.Serve(run, n.listener) })
