--- /dev/null
+++ b/cmd/godwithub-node/main.go
@@ -0,0 +1,54 @@
+// Command godwithub-node takes callers' requests and runs the upstreams of its
+// VM. One runs on each VM that hosts upstreams.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/node"
+	"github.com/godwithub/godwithub/settings"
+	"github.com/godwithub/godwithub/version"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	set := node.Defaults()
+	err := settings.Parse(settings.Program{
+		Name:        "godwithub-node",
+		Description: "Takes callers' requests and runs the upstreams of its VM.",
+		Version:     version.Version,
+	}, &set, os.Args[1:])
+	if err = errors.Join(err, set.Check()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if err := run(set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+func run(set node.Settings) error {
+	log, err := logging.New(os.Stderr, logging.Format(set.LogFormat), set.LogLevel)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	n, err := node.New(set, log, node.JoinFleet(set))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+)
+
+type sample struct {
+	Addr    string        `flag:"sample-addr" usage:"IP:port" validate:"required,hostname_port"`
+	Timeout time.Duration `flag:"sample-timeout" usage:"wait" range:"1s to 1m" validate:"min=1s,max=1m"`
+	Count   int           `flag:"sample-count" usage:"how many" validate:"min=1,max=9"`
+	Peers   []string      `flag:"sample-peers" usage:"others" validate:"dive,hostname_port"`
+}
+
+var program = Program{Name: "sample", Description: "test", Version: "0"}
+
+// Guards against a flag that loses to the environment, and a default that is
+// lost when neither is set.
+func TestFlagWinsOverEnvironmentOverDefault(t *testing.T) {
+	t.Setenv("GODWITHUB_SAMPLE_ADDR", "127.0.0.1:1")
+	t.Setenv("GODWITHUB_SAMPLE_TIMEOUT", "5s")
+	t.Setenv("GODWITHUB_SAMPLE_PEERS", "127.0.0.1:2,127.0.0.1:3")
+	s := sample{Timeout: time.Second, Count: 3}
+	assert.NilError(t, Parse(program, &s, []string{"-sample-timeout", "7s"}))
+	assert.DeepEqual(t, s, sample{"127.0.0.1:1", 7 * time.Second, 3, []string{"127.0.0.1:2", "127.0.0.1:3"}})
+}
+
+// Guards against an operator who has to start a daemon once for each fault.
+func TestEveryFaultIsListed(t *testing.T) {
+	s := sample{Timeout: time.Hour, Count: 0, Peers: []string{"x"}}
+	err := Parse(program, &s, nil)
+	for _, flag := range []string{"-sample-addr", "-sample-timeout", "-sample-count", "-sample-peers[0]"} {
+		assert.Check(t, is.ErrorContains(err, flag))
+	}
+}
+
+// Guards against a malformed variable that is taken for the zero value.
+func TestMalformedEnvironmentIsAFault(t *testing.T) {
+	t.Setenv("GODWITHUB_SAMPLE_COUNT", "many")
+	s := sample{Addr: "127.0.0.1:1", Timeout: time.Second, Count: 3}
+	assert.ErrorContains(t, Parse(program, &s, nil), "many")
+}
