Add package distribute: configuration from control to every node

Cause: an accepted configuration has to be in force at 830 nodes within 3 s, while control traffic crosses between regions only a few times, and never reverts. Change: Holder, Server with the handlers of pulls and watches, and Follower: two nodes per region watch different controls, the others pull what changed from a member that has it. Feeders that lose control call others, in a binary tree by rank. A starting node asks several peers and control and takes the newest. Deltas larger than a frame go in parts. Conclusion: correct in simulation; times over real sockets are not yet measured.

--- /dev/null
+++ b/distribute/distribute_test.go
@@ -0,0 +1,210 @@
+package distribute
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+var controls = []string{"control-0", "control-1", "control-2"}
+
+// fleetOf starts three controls, which hold the same, and n nodes.
+func fleetOf(t *testing.T, n, regions int) (*network, *Holder, *resource.Set, []*host) {
+	net := newNetwork(t)
+	first := net.control(controls[0])
+	for _, c := range controls[1:] {
+		h := net.control(c)
+		first.Subscribe(func(s *resource.Set) {
+			d, err := s.Since(h.Version())
+			if err == nil && !net.silent(controls[0], c) {
+				h.Offer(d)
+			}
+		})
+	}
+	var nodes []*host
+	for i := range n {
+		nodes = append(nodes, net.node(i, regions, controls...))
+	}
+	time.Sleep(5 * time.Second)
+	return net, first, resource.NewSet(resource.Version{Epoch: 1}), nodes
+}
+
+func isControl(addr string) bool { return strings.HasPrefix(addr, "control") }
+
+// Guards against a change that is in force late. The bound is 3 s.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := fleetOf(t, 60, 3)
+		defer net.stop()
+		for range 5 {
+			took := within(t, 3*time.Second, change(t, control, source), nodes...)
+			t.Logf("in force at %d nodes after %v", len(nodes), took)
+		}
+		watching := 0
+		for _, h := range nodes {
+			if h.f.connected.Load() {
+				watching++
+			}
+		}
+		assert.Equal(t, watching, 6, "two nodes of each of three regions watch control")
+	})
+}
+
+// Guards against a region that hears nothing because its feeders lost control.
+func TestOthersTakeOverFromFeeders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := fleetOf(t, 20, 1)
+		defer net.stop()
+		lost := map[string]bool{}
+		for _, h := range nodes {
+			if h.f.connected.Load() {
+				lost[h.member.addr] = true
+			}
+		}
+		assert.Equal(t, len(lost), 2)
+		net.setCut(func(from, to string) bool {
+			return isControl(to) && lost[from] || isControl(from) && lost[to]
+		})
+		time.Sleep(8 * time.Second)
+		within(t, 3*time.Second, change(t, control, source), nodes...)
+		net.setCut(func(_, _ string) bool { return false })
+		time.Sleep(2 * time.Minute)
+		for _, h := range nodes {
+			assert.Equal(t, h.f.connected.Load(), lost[h.member.addr], h.member.addr)
+		}
+	})
+}
+
+// Guards against feeders that stay with a control which is isolated and answers
+// from its old state.
+func TestIsolatedControlIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := fleetOf(t, 6, 1)
+		defer net.stop()
+		watchers := func(i int) int64 { return net.hosts[controls[i]].server.watchers.Load() }
+		isolated := 1
+		if watchers(isolated) == 0 {
+			isolated = 2
+		}
+		assert.Equal(t, watchers(isolated), int64(1), "the two feeders watch different controls")
+		within(t, 3*time.Second, change(t, control, source), nodes...)
+		net.setCut(func(from, to string) bool { return isControl(from) && isControl(to) && to == controls[isolated] })
+		for range 3 {
+			within(t, 3*time.Second, change(t, control, source), nodes...)
+			time.Sleep(20 * time.Second)
+		}
+		assert.Equal(t, watchers(isolated), int64(0))
+		assert.Equal(t, watchers(0)+watchers(3-isolated), int64(2))
+	})
+}
+
+// Guards against a restarted node that serves an old configuration, or none,
+// while control is away.
+func TestRestartWithControlAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := fleetOf(t, 10, 2)
+		defer net.stop()
+		within(t, 3*time.Second, change(t, control, source), nodes...)
+		// One node misses the last change.
+		net.setCut(func(from, to string) bool { return from == nodeAddr(3) || to == nodeAddr(3) })
+		v := change(t, control, source)
+		within(t, 3*time.Second, v, append(append([]*host{}, nodes[:3]...), nodes[4:]...)...)
+		net.setCut(func(from, to string) bool { return isControl(from) || isControl(to) })
+		nodes[5].stop()
+		nodes[5].tasks.Wait()
+		nodes[5] = net.node(5, 2, controls...)
+		<-nodes[5].f.Ready()
+		assert.Equal(t, nodes[5].holder.Version(), v)
+		within(t, 3*time.Second, v, nodes...)
+	})
+}
+
+// Guards against a configuration that reverts: after a partition, after a
+// restore under a higher epoch, or by a delta that comes late.
+func TestNothingReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := fleetOf(t, 12, 2)
+		defer net.stop()
+		for _, h := range nodes {
+			var last resource.Version
+			h.holder.Subscribe(func(s *resource.Set) {
+				if !last.Less(s.Version()) {
+					t.Errorf("%s went from %s to %s", h.member.addr, last, s.Version())
+				}
+				last = s.Version()
+			})
+		}
+		within(t, 3*time.Second, change(t, control, source), nodes...)
+		region := func(addr string) bool { return strings.HasSuffix(addr, "1") || isControl(addr) }
+		net.setCut(func(from, to string) bool { return region(from) != region(to) })
+		for range 3 {
+			change(t, control, source)
+			time.Sleep(2 * time.Second)
+		}
+		restored := resource.NewSet(resource.Version{Epoch: 2})
+		v := change(t, control, restored)
+		time.Sleep(10 * time.Second)
+		net.setCut(func(_, _ string) bool { return false })
+		within(t, 5*time.Second, v, nodes...)
+		d, err := source.Since(resource.Version{})
+		assert.NilError(t, err)
+		assert.ErrorIs(t, nodes[0].holder.Offer(d), resource.ErrStale)
+	})
+}
+
+// Guards against a delta larger than a frame that does not arrive whole.
+func TestLargeDelta(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := fleetOf(t, 4, 1)
+		defer net.stop()
+		source.Advance()
+		for i := range 5000 {
+			source.Put(&resource.Caller{Meta: resource.Meta{Name: fmt.Sprintf("c-%d", i), Revision: 1}, Weight: 1})
+		}
+		d, err := source.Since(control.Version())
+		assert.NilError(t, err)
+		assert.NilError(t, control.Offer(d))
+		within(t, 3*time.Second, source.Version(), nodes...)
+		assert.Equal(t, nodes[2].holder.Current().Len(), 5000)
+	})
+}
+
+// Guards against a holder that takes an older delta, whatever the order in
+// which deltas come.
+func TestHolderOnlyRises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := resource.NewSet(resource.Version{Epoch: 1})
+		versions := []resource.Version{{}, source.Version()}
+		var deltas []resource.Delta
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			rev := source.Advance()
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			source.Put(&resource.Caller{Meta: resource.Meta{Name: name, Revision: rev}, Weight: 1})
+			d, err := source.Since(rapid.SampledFrom(versions).Draw(t, "since"))
+			assert.NilError(t, err)
+			deltas = append(deltas, d)
+			versions = append(versions, source.Version())
+		}
+		h := NewHolder()
+		for _, d := range rapid.Permutation(deltas).Draw(t, "order") {
+			before := h.Version()
+			err := h.Offer(d)
+			switch {
+			case err == nil:
+				assert.Assert(t, before.Less(h.Version()))
+			case errors.Is(err, resource.ErrStale), errors.Is(err, resource.ErrGap):
+				assert.Equal(t, h.Version(), before)
+			default:
+				t.Fatal(err)
+			}
+		}
+	})
+}
