Add the replicated state machine of the configuration

Cause: the control group needs one deterministic owner of the configuration that decides concurrent writes and resends.

--- /dev/null
+++ b/control/command.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// Op names what a command does.
+type Op uint8
+
+// Operations of commands.
+const (
+	OpWrite        Op = 1 // puts and deletes of resources, all or nothing
+	OpPutMember    Op = 2 // records or updates a member of the control group
+	OpRemoveMember Op = 3 // forgets a member of the control group
+	OpRaiseEpoch   Op = 4 // moves the configuration to a higher epoch
+	OpRestore      Op = 5 // replaces the configuration by that of a snapshot
+)
+
+// Limits of commands.
+const (
+	// MaxWrites bounds the writes of one command, so that one batch does not
+	// hold up the log for longer than a few hundred milliseconds.
+	MaxWrites = 10_000
+	// MaxChangeIDBytes bounds a change id.
+	MaxChangeIDBytes = 128
+)
+
+// Write is one put or delete.
+type Write struct {
+	Key resource.Key `cbor:"1,keyasint"`
+	// Revision is the revision of the resource that the write replaces or
+	// deletes; 0 creates it.
+	Revision uint64 `cbor:"2,keyasint"`
+	Delete   bool   `cbor:"3,keyasint,omitempty"`
+	// Body is the CBOR encoding of the object; empty for a delete.
+	Body cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+}
+
+// Member is a member of the control group, as clients and peers reach it.
+type Member struct {
+	ID       string `cbor:"1,keyasint" json:"id"`
+	LinkAddr string `cbor:"2,keyasint" json:"linkAddr"` // IP:port for streams between members
+	APIAddr  string `cbor:"3,keyasint" json:"apiAddr"`  // host:port of the resource API
+	Voter    bool   `cbor:"4,keyasint" json:"voter"`
+}
+
+// Command is one entry of the replicated log.
+type Command struct {
+	Op Op `cbor:"1,keyasint"`
+	// ChangeID makes a resend return the first result. Empty: not remembered.
+	ChangeID string `cbor:"2,keyasint,omitempty"`
+	// At is the proposer's clock, in Unix seconds. Replicas use it instead of
+	// their own clocks, so that all forget the same change ids.
+	At     int64   `cbor:"3,keyasint"`
+	Writes []Write `cbor:"4,keyasint,omitempty"`
+	Member Member  `cbor:"5,keyasint,omitempty"`
+	Epoch  uint64  `cbor:"6,keyasint,omitempty"`
+	// Snapshot is the content to restore.
+	Snapshot []byte `cbor:"7,keyasint,omitempty"`
+}
+
+// Code says how a command ended.
+type Code string
+
+// Codes of results.
+const (
+	CodeOK             Code = "ok"
+	CodeConflict       Code = "conflict"         // a named revision is not the current one
+	CodeInvalid        Code = "invalid"          // faults in fields or references
+	CodeMalformed      Code = "malformed"        // the command cannot be decoded
+	CodeChangeIDReused Code = "change-id-reused" // the change id belongs to another change
+)
+
+// Conflict is one write whose named revision is not the current one.
+type Conflict struct {
+	Key      resource.Key `cbor:"1,keyasint"`
+	Revision uint64       `cbor:"2,keyasint"` // revision that the write named
+	// Current is the object as it is now, or nil if there is none.
+	Current *resource.Envelope `cbor:"3,keyasint,omitempty"`
+}
+
+// Written is what the system set on one written object. Its revision is that
+// of the result's version.
+type Written struct {
+	Generation uint64 `cbor:"1,keyasint"`
+	Group      string `cbor:"2,keyasint,omitempty"` // group of a service
+}
+
+// Result is the answer to a command. A refused command changed nothing.
+type Result struct {
+	Code Code `cbor:"1,keyasint"`
+	// Version is that of the configuration after the command.
+	Version resource.Version `cbor:"2,keyasint"`
+	// Written has one entry per write, in the order of the command.
+	Written   []Written             `cbor:"3,keyasint,omitempty"`
+	Conflicts []Conflict            `cbor:"4,keyasint,omitempty"`
+	Faults    []resource.FieldError `cbor:"5,keyasint,omitempty"`
+	// Message explains a refusal that has neither conflicts nor faults.
+	Message string `cbor:"6,keyasint,omitempty"`
+}
+
+// maxElements bounds arrays and maps in commands and snapshots. A snapshot at
+// the target scale holds about 56,000 objects.
+const maxElements = 1 << 22
+
+var encoding, decoding = mustModes()
+
+func mustModes() (cbor.EncMode, cbor.DecMode) {
+	// Map keys are sorted so that all replicas write the same bytes.
+	enc, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+}
+
+// Encode returns the CBOR encoding of c.
+func (c *Command) Encode() ([]byte, error) {
+	b, err := encoding.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("control: encode command: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeResult decodes what Apply returned.
+func DecodeResult(b []byte) (*Result, error) {
+	r := &Result{}
+	if err := decoding.Unmarshal(b, r); err != nil {
+		return nil, fmt.Errorf("control: decode result: %w", err)
+	}
+	return r, nil
+}
+
+// PutWrite returns the write that stores o over revision o.Metadata().Revision.
+func PutWrite(o resource.Object) (Write, error) {
+	body, err := encoding.Marshal(o)
+	if err != nil {
+		return Write{}, fmt.Errorf("control: encode %s: %w", resource.KeyOf(o), err)
+	}
+	return Write{Key: resource.KeyOf(o), Revision: o.Metadata().Revision, Body: body}, nil
+}
+
+// digest identifies what c changes, without the time at which it was sent.
+func (c *Command) digest() ([sha256.Size]byte, error) {
+	content := *c
+	content.At = 0
+	b, err := encoding.Marshal(&content)
+	if err != nil {
+		return [sha256.Size]byte{}, fmt.Errorf("control: encode command: %w", err)
+	}
+	return sha256.Sum256(b), nil
+}
+
+func envelope(o resource.Object) (*resource.Envelope, error) {
+	body, err := encoding.Marshal(o)
+	if err != nil {
+		return nil, fmt.Errorf("control: encode %s: %w", resource.KeyOf(o), err)
+	}
+	return &resource.Envelope{Type: o.Type(), Body: body}, nil
+}
--- /dev/null
+++ b/control/read.go
@@ -0,0 +1,129 @@
+package control
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// Version returns the version of the configuration.
+func (m *Machine) Version() resource.Version {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.set.Version()
+}
+
+// Get returns the object under k, or nil. It must not be modified.
+func (m *Machine) Get(k resource.Key) resource.Object {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.set.Get(k)
+}
+
+// Page is a part of the objects of one type, by name.
+type Page struct {
+	Version resource.Version
+	Objects []resource.Object
+	More    bool // objects follow after the last one
+}
+
+// List returns up to limit objects of type t whose names come after the given one.
+func (m *Machine) List(t resource.Type, after string, limit int) Page {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	names := m.index.names[t]
+	i, found := slices.BinarySearch(names, after)
+	if found {
+		i++
+	}
+	end := min(i+limit, len(names))
+	p := Page{Version: m.set.Version(), More: end < len(names)}
+	for _, name := range names[i:end] {
+		p.Objects = append(p.Objects, m.set.Get(resource.Key{Type: t, Name: name}))
+	}
+	return p
+}
+
+// Count returns the number of objects of type t.
+func (m *Machine) Count(t resource.Type) int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.index.names[t])
+}
+
+// Since returns the delta from v to the present version. See resource.Set.Since.
+func (m *Machine) Since(v resource.Version) (resource.Delta, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.set.Since(v)
+}
+
+// Members returns the members of the control group, by id.
+func (m *Machine) Members() []Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Clone(m.members)
+}
+
+// Config returns the configuration as a set of its own, which later commands
+// leave as it is. The cost falls on the first call after a change: a scan of
+// all objects and a copy of the set's map.
+func (m *Machine) Config() (*resource.Set, error) {
+	m.publishedMu.Lock()
+	defer m.publishedMu.Unlock()
+	if m.published == nil {
+		m.published = resource.NewSet(resource.Version{})
+	}
+	from := m.published.Version()
+	if from == m.Version() {
+		return m.published, nil
+	}
+	d, err := m.Since(from)
+	if err != nil {
+		return nil, err
+	}
+	next, err := m.published.Apply(d)
+	if err != nil {
+		return nil, err
+	}
+	m.published = next
+	return next, nil
+}
+
+// Subscribe calls f with the new version after each change of the
+// configuration, in order and from the goroutine that applies commands. f must
+// not block and must not call the cancel function, which ends the calls.
+func (m *Machine) Subscribe(f func(resource.Version)) (cancel func()) {
+	return m.subscribers.add(f)
+}
+
+type subscribers struct {
+	mu   sync.Mutex
+	next int
+	byID map[int]func(resource.Version)
+}
+
+func (s *subscribers) add(f func(resource.Version)) (cancel func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID == nil {
+		s.byID = map[int]func(resource.Version){}
+	}
+	id := s.next
+	s.next++
+	s.byID[id] = f
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.byID, id)
+	}
+}
+
+func (s *subscribers) notify(v resource.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.byID {
+		f(v)
+	}
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// snapshotFormat is the format that Snapshot writes and Restore accepts.
+const snapshotFormat = 1
+
+// snapshot is the encoded state.
+type snapshot struct {
+	Format  int              `cbor:"1,keyasint"`
+	Set     resource.Delta   `cbor:"2,keyasint"` // full
+	Now     int64            `cbor:"3,keyasint"`
+	Changes []*change        `cbor:"4,keyasint,omitempty"`
+	Members []Member         `cbor:"5,keyasint,omitempty"`
+	Retired []retiredService `cbor:"6,keyasint,omitempty"`
+}
+
+// Snapshot implements StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	delta, err := m.set.Since(resource.Version{})
+	if err != nil {
+		return nil, err
+	}
+	if err := sortDelta(&delta); err != nil {
+		return nil, err
+	}
+	b, err := encoding.Marshal(&snapshot{
+		Format: snapshotFormat, Set: delta, Now: m.changes.now, Changes: m.changes.queue,
+		Members: m.members, Retired: m.retired.queue,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("control: encode snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// sortDelta puts a delta in the order of keys, so that equal states give equal
+// snapshots.
+func sortDelta(d *resource.Delta) error {
+	type keyed struct {
+		key resource.Key
+		e   resource.Envelope
+	}
+	list := make([]keyed, len(d.Changed))
+	for i, e := range d.Changed {
+		var meta struct {
+			Name string `cbor:"name"`
+		}
+		if err := decoding.Unmarshal(e.Body, &meta); err != nil {
+			return fmt.Errorf("control: encode snapshot: %w", err)
+		}
+		list[i] = keyed{resource.Key{Type: e.Type, Name: meta.Name}, e}
+	}
+	slices.SortFunc(list, func(a, b keyed) int { return compareKeys(a.key, b.key) })
+	for i := range list {
+		d.Changed[i] = list[i].e
+	}
+	slices.SortFunc(d.Deleted, func(a, b resource.Tombstone) int { return compareKeys(a.Key, b.Key) })
+	return nil
+}
+
+// Restore implements StateMachine. The state is left as it was on an error.
+func (m *Machine) Restore(b []byte) error {
+	next, err := decodeSnapshot(b)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.state = *next
+	v := m.set.Version()
+	m.mu.Unlock()
+	m.publishedMu.Lock()
+	// A restored state need not be newer than the published copy.
+	m.published = nil
+	m.publishedMu.Unlock()
+	m.subscribers.notify(v)
+	return nil
+}
+
+func decodeSnapshot(b []byte) (*state, error) {
+	var s snapshot
+	if err := decoding.Unmarshal(b, &s); err != nil {
+		return nil, fmt.Errorf("control: decode snapshot: %w", err)
+	}
+	if s.Format != snapshotFormat {
+		return nil, fmt.Errorf("control: snapshot has format %d, not %d", s.Format, snapshotFormat)
+	}
+	if !s.Set.Full {
+		return nil, fmt.Errorf("control: snapshot holds a partial configuration")
+	}
+	set, err := resource.NewSet(resource.Version{}).Apply(s.Set)
+	if err != nil {
+		return nil, fmt.Errorf("control: decode snapshot: %w", err)
+	}
+	return &state{
+		set:     set,
+		index:   newIndex(set),
+		changes: newChanges(s.Now, s.Changes),
+		members: s.Members,
+		retired: newRetired(s.Retired),
+	}, nil
+}
+
+// restoreCommand replaces the configuration by that of a snapshot, under an
+// epoch above both. Members stay: those of the snapshot are of the group that
+// was lost. m.mu is held.
+func (m *Machine) restoreCommand(b []byte) *Result {
+	next, err := decodeSnapshot(b)
+	if err != nil {
+		return &Result{Code: CodeMalformed, Message: err.Error()}
+	}
+	epoch := max(m.set.Version().Epoch, next.set.Version().Epoch) + 1
+	next.set.SetEpoch(epoch)
+	next.members = m.members
+	next.changes.advance(m.changes.now)
+	m.state = *next
+	return &Result{Code: CodeOK}
+}
--- /dev/null
+++ b/control/stage.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// shareTolerance absorbs rounding when shares of ranks are added up.
+const shareTolerance = 1e-9
+
+// staged is a batch of writes laid over the set. Staging costs in proportion
+// to the batch, not to the set.
+type staged struct {
+	m      *Machine
+	writes []Write
+	// after holds the object that each written key will have; nil if deleted.
+	after map[resource.Key]resource.Object
+	// groupUse counts the services of each group after the batch. It is built
+	// when the first service needs a group.
+	groupUse map[string]int
+	result   Result
+}
+
+// stage checks writes against the set and collects every conflict and fault.
+// m.mu is held.
+func (m *Machine) stage(writes []Write) *staged {
+	s := &staged{m: m, writes: writes, after: make(map[resource.Key]resource.Object, len(writes)), result: Result{Code: CodeOK}}
+	if len(writes) == 0 || len(writes) > MaxWrites {
+		s.result.Code = CodeMalformed
+		s.result.Message = fmt.Sprintf("a change has 1 to %d writes, not %d", MaxWrites, len(writes))
+		return s
+	}
+	for i := range writes {
+		s.stageWrite(&writes[i])
+	}
+	for i := range writes {
+		s.settleGroup(writes[i].Key)
+	}
+	for i := range writes {
+		s.checkReferences(writes[i].Key)
+	}
+	s.checkShares()
+	s.finish()
+	return s
+}
+
+func (s *staged) fault(k resource.Key, field, format string, args ...any) {
+	s.result.Faults = append(s.result.Faults, resource.FieldError{Key: k, Field: field, Fault: fmt.Sprintf(format, args...)})
+}
+
+func (s *staged) get(k resource.Key) resource.Object {
+	if o, ok := s.after[k]; ok {
+		return o
+	}
+	return s.m.set.Get(k)
+}
+
+func (s *staged) stageWrite(w *Write) {
+	if _, twice := s.after[w.Key]; twice {
+		s.fault(w.Key, "name", "is written twice in one change")
+		return
+	}
+	current := s.m.set.Get(w.Key)
+	s.checkRevision(w, current)
+	if w.Delete {
+		s.after[w.Key] = nil
+		return
+	}
+	o, err := resource.Envelope{Type: w.Key.Type, Body: w.Body}.Decode()
+	if err != nil {
+		s.fault(w.Key, "type", "cannot be decoded as %q", w.Key.Type)
+		return
+	}
+	meta := o.Metadata()
+	meta.Name = w.Key.Name
+	meta.Generation = 1
+	if current != nil {
+		meta.Generation = current.Metadata().Generation + 1
+	}
+	meta.Revision = s.m.set.Version().Revision + 1
+	s.after[w.Key] = o
+	s.result.Faults = append(s.result.Faults, resource.Validate(o)...)
+	s.checkGroupEpoch(o, current)
+}
+
+// checkRevision records a conflict unless w names the revision of current. A
+// delete of what does not exist is a conflict as well.
+func (s *staged) checkRevision(w *Write, current resource.Object) {
+	switch {
+	case current == nil && w.Revision == 0 && !w.Delete:
+		return
+	case current != nil && w.Revision == current.Metadata().Revision:
+		return
+	}
+	conflict := Conflict{Key: w.Key, Revision: w.Revision}
+	if current != nil {
+		e, err := envelope(current)
+		if err != nil {
+			panic(err)
+		}
+		conflict.Current = e
+	}
+	s.result.Conflicts = append(s.result.Conflicts, conflict)
+}
+
+// checkGroupEpoch refuses a lower epoch: the replicas of a replaced group would
+// be taken for current ones.
+func (s *staged) checkGroupEpoch(o, current resource.Object) {
+	group, ok := o.(*resource.Group)
+	if !ok || current == nil {
+		return
+	}
+	if before := current.(*resource.Group).Epoch; group.Epoch < before {
+		s.fault(resource.KeyOf(o), "epoch", "%d is below the present epoch %d", group.Epoch, before)
+	}
+}
+
+// referenceField names the field through which a resource refers to a type.
+var referenceField = map[resource.Type]string{
+	resource.TypeService: "service",
+	resource.TypeRank:    "rank",
+	resource.TypeGroup:   "group",
+}
+
+// checkReferences records what is wrong with the references from and to k.
+func (s *staged) checkReferences(k resource.Key) {
+	o, written := s.after[k]
+	if !written {
+		return
+	}
+	if o == nil {
+		s.checkUnused(k)
+		return
+	}
+	for _, ref := range resource.References(o) {
+		if ref.Name != "" && s.get(ref) == nil {
+			s.fault(k, referenceField[ref.Type], "%s does not exist", ref)
+		}
+	}
+}
+
+// checkUnused records a fault for each object outside the batch that refers to
+// k, which is deleted. Objects in the batch have their own references checked.
+func (s *staged) checkUnused(k resource.Key) {
+	for _, user := range s.m.index.usersOf(k) {
+		if _, written := s.after[user]; !written {
+			s.fault(k, "name", "is in use by %s", user)
+		}
+	}
+}
+
+// checkShares checks the sum of all rank shares if the batch writes a rank.
+func (s *staged) checkShares() {
+	var written []resource.Key
+	for _, w := range s.writes {
+		if w.Key.Type == resource.TypeRank && s.after[w.Key] != nil {
+			written = append(written, w.Key)
+		}
+	}
+	if len(written) == 0 {
+		return
+	}
+	// The sum runs in the order of names: the rounding of floats depends on it.
+	sum := 0.0
+	for _, name := range s.namesAfter(resource.TypeRank) {
+		sum += s.get(resource.Key{Type: resource.TypeRank, Name: name}).(*resource.Rank).Share
+	}
+	if sum > 1+shareTolerance || math.IsNaN(sum) {
+		s.fault(written[0], "share", "the shares of all ranks add up to %.4g, above 1", sum)
+	}
+}
+
+// namesAfter returns the sorted names of type t once the batch is applied.
+func (s *staged) namesAfter(t resource.Type) []string {
+	names := slices.Clone(s.m.index.names[t])
+	for _, w := range s.writes {
+		if w.Key.Type == t && s.after[w.Key] != nil {
+			names = append(names, w.Key.Name)
+		}
+	}
+	slices.Sort(names)
+	return slices.DeleteFunc(slices.Compact(names), func(name string) bool {
+		return s.get(resource.Key{Type: t, Name: name}) == nil
+	})
+}
+
+// finish sets the code and, if the batch is accepted, what was written.
+func (s *staged) finish() {
+	switch {
+	case len(s.result.Conflicts) > 0:
+		s.result.Code = CodeConflict
+	case len(s.result.Faults) > 0:
+		s.result.Code = CodeInvalid
+	}
+	if s.result.Code != CodeOK {
+		return
+	}
+	for _, w := range s.writes {
+		written := Written{}
+		if o := s.after[w.Key]; o != nil {
+			written.Generation = o.Metadata().Generation
+			if service, ok := o.(*resource.Service); ok {
+				written.Group = service.Group
+			}
+		}
+		s.result.Written = append(s.result.Written, written)
+	}
+}
+
+// commit applies an accepted batch under one new revision. m.mu is held.
+func (m *Machine) commit(s *staged) {
+	m.set.Advance()
+	for _, w := range s.writes {
+		before, after := m.set.Get(w.Key), s.after[w.Key]
+		m.index.replace(before, after)
+		if after == nil {
+			m.set.Remove(w.Key)
+		} else {
+			m.set.Put(after)
+		}
+		m.retired.record(before, after)
+	}
+}
