Add the resource API

Cause: operators need to write and watch the configuration over HTTPS. Latency not measured. Conclusion: the API is complete on the local replicator; consensus/replica needs the three methods of control.Replicator.

--- /dev/null
+++ b/control/apiv1/documents.go
@@ -0,0 +1,220 @@
+// Package apiv1 holds the JSON documents of the resource API, shared by its
+// server and its clients. docs/api.md describes the API.
+package apiv1
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// HeaderChangeID carries the change id of a write, in the request and in the
+// answer.
+const HeaderChangeID = "Godwithub-Change-Id"
+
+// Limits of the API.
+const (
+	DefaultPageSize = 100
+	MaxPageSize     = 1000
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes = 8 << 20
+	// MaxSnapshotBytes bounds the body of a restore.
+	MaxSnapshotBytes = 256 << 20
+)
+
+// ErrorCode says what kind of error an answer reports.
+type ErrorCode string
+
+// Codes of errors, with the status of their answers.
+const (
+	CodeBadRequest     ErrorCode = "bad-request"      // 400
+	CodeUnauthorized   ErrorCode = "unauthorized"     // 401
+	CodeForbidden      ErrorCode = "forbidden"        // 403
+	CodeNotFound       ErrorCode = "not-found"        // 404
+	CodeConflict       ErrorCode = "conflict"         // 409
+	CodeChangeIDReused ErrorCode = "change-id-reused" // 409
+	CodeTooLarge       ErrorCode = "too-large"        // 413
+	CodeInvalid        ErrorCode = "invalid"          // 422
+	CodeInternal       ErrorCode = "internal"         // 500
+	CodeNoLeader       ErrorCode = "no-leader"        // 503
+	CodeUnavailable    ErrorCode = "unavailable"      // 503, a read; nothing was changed
+	CodeUnknownResult  ErrorCode = "unknown-result"   // 503, a write that may still be applied
+)
+
+// Error is the body of each answer with a status of 400 or above.
+type Error struct {
+	// Status is the HTTP status; it is not part of the body.
+	Status    int                   `json:"-"`
+	Code      ErrorCode             `json:"code"`
+	Message   string                `json:"message"`
+	Faults    []resource.FieldError `json:"faults,omitempty"`
+	Conflicts []Conflict            `json:"conflicts,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s", e.Code, e.Message)
+	for _, f := range e.Faults {
+		fmt.Fprintf(&b, "\n  %s", f.Error())
+	}
+	for _, c := range e.Conflicts {
+		fmt.Fprintf(&b, "\n  %s", c)
+	}
+	return b.String()
+}
+
+// Conflict is a write whose named revision is not the current one.
+type Conflict struct {
+	Key      resource.Key `json:"key"`
+	Revision uint64       `json:"revision"` // named by the write
+	// Current is the present object, or null if there is none.
+	Current *Resource `json:"current"`
+}
+
+// String describes the conflict in one line.
+func (c Conflict) String() string {
+	if c.Current == nil {
+		return fmt.Sprintf("%s: does not exist, the write names revision %d", c.Key, c.Revision)
+	}
+	return fmt.Sprintf("%s: is at revision %d, the write names revision %d", c.Key, c.Current.Metadata().Revision, c.Revision)
+}
+
+// List is one page of objects of a type, by name.
+type List struct {
+	Version resource.Version `json:"version"`
+	Items   []Resource       `json:"items"`
+	// Continue is the token of the next page; empty at the end.
+	Continue string `json:"continue,omitempty"`
+}
+
+// WriteOp is what a write does.
+type WriteOp string
+
+// Operations of writes.
+const (
+	OpPut    WriteOp = "put"
+	OpDelete WriteOp = "delete"
+)
+
+// Write is one write of a batch.
+type Write struct {
+	Op WriteOp `json:"op"`
+	// Object is the object to put, with the revision that it replaces.
+	Object *Resource `json:"object,omitempty"`
+	// Key and Revision name what to delete.
+	Key      *resource.Key `json:"key,omitempty"`
+	Revision uint64        `json:"revision,omitempty"`
+}
+
+// ApplyRequest is a batch of writes that are applied together or not at all.
+type ApplyRequest struct {
+	Writes []Write `json:"writes"`
+}
+
+// Applied is the answer to an accepted write or batch.
+type Applied struct {
+	Version resource.Version `json:"version"`
+	// DryRun says that nothing was changed.
+	DryRun  bool           `json:"dryRun,omitempty"`
+	Objects []Resource     `json:"objects,omitempty"` // as written
+	Deleted []resource.Key `json:"deleted,omitempty"`
+}
+
+// EventType is the type of a line of a watch.
+type EventType string
+
+// Types of events.
+const (
+	// EventReset tells the client to drop what it holds; the full state follows.
+	EventReset  EventType = "reset"
+	EventPut    EventType = "put"
+	EventDelete EventType = "delete"
+	// EventVersion ends the changes up to a version, from which a watch can be
+	// resumed.
+	EventVersion   EventType = "version"
+	EventReached   EventType = "reached"
+	EventHeartbeat EventType = "heartbeat"
+)
+
+// Event is one line of a watch.
+type Event struct {
+	Type    EventType         `json:"type"`
+	Object  *Resource         `json:"object,omitempty"`  // put
+	Key     *resource.Key     `json:"key,omitempty"`     // delete
+	Version *resource.Version `json:"version,omitempty"` // version, reset and heartbeat
+	Nodes   *Nodes            `json:"nodes,omitempty"`   // reached
+}
+
+// Nodes tells which versions are in force at the nodes.
+type Nodes struct {
+	// Known is false if this control process does not know the nodes.
+	Known bool `json:"known"`
+	// Total is the number of nodes that take part, without dead ones.
+	Total int `json:"total"`
+	// Reached is the number of nodes at the present version.
+	Reached   int            `json:"reached"`
+	ByVersion []NodesAt      `json:"byVersion,omitempty"` // newest first
+	Laggards  []ReachedState `json:"laggards,omitempty"`  // oldest first, MaxLaggards at most
+}
+
+// MaxLaggards bounds the nodes that Nodes names.
+const MaxLaggards = 100
+
+// NodesAt counts the nodes at a version.
+type NodesAt struct {
+	Version resource.Version `json:"version"`
+	Nodes   int              `json:"nodes"`
+}
+
+// ReachedState is the configuration in force at a node.
+type ReachedState struct {
+	Node          string           `json:"node"`
+	Region        string           `json:"region,omitempty"`
+	FailureDomain string           `json:"failureDomain,omitempty"`
+	State         string           `json:"state,omitempty"`
+	Version       resource.Version `json:"version"`
+}
+
+// Count is the number of objects of a type.
+type Count struct {
+	Type  resource.Type `json:"type"`
+	Count int           `json:"count"`
+}
+
+// Status describes the configuration and how far it has reached.
+type Status struct {
+	Version resource.Version `json:"version"`
+	Leader  string           `json:"leader"`
+	Objects []Count          `json:"objects"`
+	Nodes   Nodes            `json:"nodes"`
+}
+
+// Member is a member of the control group.
+type Member struct {
+	ID       string `json:"id"`
+	LinkAddr string `json:"linkAddr"`
+	APIAddr  string `json:"apiAddr"`
+	Voter    bool   `json:"voter"`
+	Leader   bool   `json:"leader,omitempty"` // set by the system
+}
+
+// Members lists the members of the control group.
+type Members struct {
+	Members []Member `json:"members"`
+}
+
+// RaiseEpoch asks for a higher epoch.
+type RaiseEpoch struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+// ParseVersion parses "epoch.revision".
+func ParseVersion(s string) (resource.Version, error) {
+	var v resource.Version
+	if _, err := fmt.Sscanf(s, "%d.%d", &v.Epoch, &v.Revision); err != nil || v.String() != s {
+		return resource.Version{}, fmt.Errorf("apiv1: %q is not a version of the form epoch.revision", s)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/control/server/admin.go
@@ -0,0 +1,129 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/resource"
+)
+
+func (s *Server) status(ctx iris.Context) {
+	if !s.barrier(ctx) {
+		return
+	}
+	leader, _, _ := s.Replicator.Leader()
+	out := &apiv1.Status{Version: s.Machine.Version(), Leader: leader}
+	for _, t := range resource.Types {
+		out.Objects = append(out.Objects, apiv1.Count{Type: t, Count: s.Machine.Count(t)})
+	}
+	out.Nodes = summarize(s.Reached, out.Version)
+	answer(ctx, http.StatusOK, out)
+}
+
+func (s *Server) listMembers(ctx iris.Context) {
+	if !s.barrier(ctx) {
+		return
+	}
+	leader, _, _ := s.Replicator.Leader()
+	out := &apiv1.Members{Members: []apiv1.Member{}}
+	for _, m := range s.Machine.Members() {
+		out.Members = append(out.Members, apiv1.Member{ID: m.ID, LinkAddr: m.LinkAddr, APIAddr: m.APIAddr, Voter: m.Voter, Leader: m.ID == leader})
+	}
+	answer(ctx, http.StatusOK, out)
+}
+
+func (s *Server) putMember(ctx iris.Context) {
+	body, ok := readBody(ctx, apiv1.MaxBodyBytes)
+	if !ok {
+		return
+	}
+	var doc apiv1.Member
+	if err := strict(body, &doc); err != nil {
+		failFaults(ctx, err)
+		return
+	}
+	m := control.Member{ID: ctx.Params().Get("id"), LinkAddr: doc.LinkAddr, APIAddr: doc.APIAddr, Voter: doc.Voter}
+	if m.LinkAddr == "" || m.APIAddr == "" {
+		fail(ctx, http.StatusUnprocessableEntity, apiv1.CodeInvalid, "a member has a linkAddr and an apiAddr")
+		return
+	}
+	if s.Members != nil {
+		s.memberResult(ctx, s.Members.PutMember(ctx.Request().Context(), m))
+		return
+	}
+	s.simple(ctx, &control.Command{Op: control.OpPutMember, Member: m})
+}
+
+func (s *Server) deleteMember(ctx iris.Context) {
+	id := ctx.Params().Get("id")
+	if s.Members != nil {
+		s.memberResult(ctx, s.Members.RemoveMember(ctx.Request().Context(), id))
+		return
+	}
+	s.simple(ctx, &control.Command{Op: control.OpRemoveMember, Member: control.Member{ID: id}})
+}
+
+func (s *Server) memberResult(ctx iris.Context, err error) {
+	if err != nil {
+		s.Log.Warn("change of members failed", "token", tokenOf(ctx).Name, "error", err)
+		ctx.Header("Retry-After", retryAfter)
+		fail(ctx, http.StatusServiceUnavailable, apiv1.CodeUnavailable, "the members were not changed: %s", err)
+		return
+	}
+	answer(ctx, http.StatusOK, &apiv1.Applied{Version: s.Machine.Version()})
+}
+
+func (s *Server) raiseEpoch(ctx iris.Context) {
+	body, ok := readBody(ctx, apiv1.MaxBodyBytes)
+	if !ok {
+		return
+	}
+	var doc apiv1.RaiseEpoch
+	if err := strict(body, &doc); err != nil {
+		failFaults(ctx, err)
+		return
+	}
+	s.simple(ctx, &control.Command{Op: control.OpRaiseEpoch, Epoch: doc.Epoch})
+}
+
+func (s *Server) downloadSnapshot(ctx iris.Context) {
+	if !s.barrier(ctx) {
+		return
+	}
+	b, err := s.Machine.Snapshot()
+	if err != nil {
+		s.Log.Error("snapshot failed", "error", err)
+		fail(ctx, http.StatusInternalServerError, apiv1.CodeInternal, "the snapshot failed")
+		return
+	}
+	ctx.ContentType("application/cbor")
+	ctx.Header("Content-Length", strconv.Itoa(len(b)))
+	ctx.Write(b)
+}
+
+func (s *Server) restoreSnapshot(ctx iris.Context) {
+	body, ok := readBody(ctx, apiv1.MaxSnapshotBytes)
+	if !ok {
+		return
+	}
+	if err := control.CheckSnapshot(body); err != nil {
+		failFaults(ctx, err)
+		return
+	}
+	s.simple(ctx, &control.Command{Op: control.OpRestore, Snapshot: body})
+}
+
+// simple carries out a command that writes no resources.
+func (s *Server) simple(ctx iris.Context, c *control.Command) {
+	switch r := s.submit(ctx, c); {
+	case r == nil: // answered
+	case r.Code != control.CodeOK:
+		failResult(ctx, r)
+	default:
+		answer(ctx, http.StatusOK, &apiv1.Applied{Version: r.Version})
+	}
+}
--- /dev/null
+++ b/control/server/auth.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/godwithub/godwithub/control/apiv1"
+)
+
+// tokenKey is where a request's values hold its token.
+const tokenKey = "godwithub.token"
+
+// allow passes on requests whose token has at least the given role.
+func (s *Server) allow(role Role) iris.Handler {
+	return func(ctx iris.Context) {
+		token, ok := s.authenticate(ctx)
+		if !ok {
+			s.Log.Warn("request without a valid token", "remote", ctx.Request().RemoteAddr, "method", ctx.Method(), "path", ctx.Path())
+			ctx.Header("WWW-Authenticate", `Bearer realm="godwithub"`)
+			fail(ctx, http.StatusUnauthorized, apiv1.CodeUnauthorized, "a valid bearer token is required")
+			return
+		}
+		ctx.Values().Set(tokenKey, token)
+		if !s.permit(ctx, role) {
+			return
+		}
+		ctx.Next()
+	}
+}
+
+func (s *Server) authenticate(ctx iris.Context) (Token, bool) {
+	scheme, secret, _ := strings.Cut(ctx.GetHeader("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || secret == "" {
+		return Token{}, false
+	}
+	return s.Tokens.Find(strings.TrimSpace(secret), s.Now())
+}
+
+// permit reports whether the request's token has at least the given role. It
+// answers the request if not.
+func (s *Server) permit(ctx iris.Context, role Role) bool {
+	token := tokenOf(ctx)
+	if token.Role >= role {
+		return true
+	}
+	s.Log.Warn("request refused for its token's role", "token", token.Name, "role", token.Role.String(),
+		"required", role.String(), "remote", ctx.Request().RemoteAddr, "method", ctx.Method(), "path", ctx.Path())
+	fail(ctx, http.StatusForbidden, apiv1.CodeForbidden, "token %s has role %s; %s is required", token.Name, token.Role, role)
+	return false
+}
+
+func tokenOf(ctx iris.Context) Token {
+	token, _ := ctx.Values().Get(tokenKey).(Token)
+	return token
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -123,3 +123,9 @@
 	m.state = *next
 	return &Result{Code: CodeOK}
 }
+
+// CheckSnapshot reports why b is not a snapshot that can be restored.
+func CheckSnapshot(b []byte) error {
+	_, err := decodeSnapshot(b)
+	return err
+}
