--- a/control/machine.go
+++ b/control/machine.go
@@ -30,6 +30,7 @@
 type Machine struct {
 	mu sync.RWMutex
 	state
+	applied uint64 // commands since the process started
 	// published is the copy that Config last returned. It has its own lock
 	// because Config extends it while reads go on.
 	publishedMu sync.Mutex
@@ -57,6 +58,7 @@
 func (m *Machine) Apply(_ uint64, command []byte) []byte {
 	m.mu.Lock()
 	before := m.set.Version()
+	m.applied++
 	result := m.applyLocked(command)
 	after := m.set.Version()
 	m.mu.Unlock()
--- a/control/server/answer.go
+++ b/control/server/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/kataras/iris/v12"
 
@@ -46,10 +47,18 @@
 	}
 }
 
+// bodyTimeout bounds the time to receive a body.
+const bodyTimeout = time.Minute
+
 // readBody returns the body of the request, or false if it has answered the
 // request with an error.
 func readBody(ctx iris.Context, limit int64) ([]byte, bool) {
 	r := ctx.Request()
+	// Only the body is bounded in time: a deadline on the whole request would
+	// end watches.
+	rc := http.NewResponseController(ctx.ResponseWriter().Naive())
+	rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer rc.SetReadDeadline(time.Time{})
 	b, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), r.Body, limit))
 	if err != nil {
 		failFaults(ctx, err)
--- a/control/server/auth.go
+++ b/control/server/auth.go
@@ -17,6 +17,7 @@
 	return func(ctx iris.Context) {
 		token, ok := s.authenticate(ctx)
 		if !ok {
+			s.metrics.Add("unauthorized", 1)
 			s.Log.Warn("request without a valid token", "remote", ctx.Request().RemoteAddr, "method", ctx.Method(), "path", ctx.Path())
 			ctx.Header("WWW-Authenticate", `Bearer realm="godwithub"`)
 			fail(ctx, http.StatusUnauthorized, apiv1.CodeUnauthorized, "a valid bearer token is required")
@@ -45,6 +46,7 @@
 	if token.Role >= role {
 		return true
 	}
+	s.metrics.Add("forbidden", 1)
 	s.Log.Warn("request refused for its token's role", "token", token.Name, "role", token.Role.String(),
 		"required", role.String(), "remote", ctx.Request().RemoteAddr, "method", ctx.Method(), "path", ctx.Path())
 	fail(ctx, http.StatusForbidden, apiv1.CodeForbidden, "token %s has role %s; %s is required", token.Name, token.Role, role)
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -6,6 +6,7 @@
 	"context"
 	_ "embed"
 	"errors"
+	"expvar"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -64,6 +65,7 @@
 type Server struct {
 	Config
 	app     *iris.Application
+	metrics *expvar.Map
 	watches atomic.Int64
 	stop    chan struct{}
 	stopped atomic.Bool
@@ -80,7 +82,8 @@
 	if c.Poll == 0 {
 		c.Poll = time.Second
 	}
-	s := &Server{Config: c, app: iris.New(), stop: make(chan struct{})}
+	s := &Server{Config: c, app: iris.New(), metrics: new(expvar.Map).Init(), stop: make(chan struct{})}
+	s.metrics.Set("openWatches", expvar.Func(func() any { return s.watches.Load() }))
 	s.app.Logger().SetLevel("disable")
 	s.app.Configure(iris.WithoutStartupLog, iris.WithoutInterruptHandler, iris.WithoutPathCorrectionRedirection,
 		iris.WithoutAutoFireStatusCode)
@@ -94,6 +97,9 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
 
+// Metrics returns counts of requests, refusals and writes, and the open watches.
+func (s *Server) Metrics() expvar.Var { return s.metrics }
+
 // Close ends all watches, so that a graceful shutdown need not wait for them.
 func (s *Server) Close() {
 	if s.stopped.CompareAndSwap(false, true) {
@@ -135,8 +141,10 @@
 }
 
 func (s *Server) recoverPanic(ctx iris.Context) {
+	s.metrics.Add("requests", 1)
 	defer func() {
 		if r := recover(); r != nil {
+			s.metrics.Add("panics", 1)
 			s.Log.Error("request failed", "method", ctx.Method(), "path", ctx.Path(), "panic", r)
 			fail(ctx, http.StatusInternalServerError, apiv1.CodeInternal, "the request failed; the log of the server says why")
 		}
@@ -202,11 +210,13 @@
 		fail(ctx, http.StatusServiceUnavailable, apiv1.CodeNoLeader, "the change was not accepted: this process no longer leads")
 		return nil
 	case err != nil:
+		s.metrics.Add("writesWithoutResult", 1)
 		s.Log.Warn("change without a result", "change", c.ChangeID, "error", err)
 		ctx.Header("Retry-After", retryAfter)
 		fail(ctx, http.StatusServiceUnavailable, apiv1.CodeUnknownResult, "the change may have been applied; send it again under change id %s", c.ChangeID)
 		return nil
 	}
+	s.metrics.Add("writes."+string(r.Code), 1)
 	s.Log.Info("change", "token", tokenOf(ctx).Name, "method", ctx.Method(), "path", ctx.Path(),
 		"change", c.ChangeID, "code", r.Code, "version", r.Version.String())
 	return r
--- /dev/null
+++ b/controld/controld.go
@@ -0,0 +1,252 @@
+// Package controld assembles a member of the control group: the replicated
+// configuration, the link to other processes and the resource API.
+package controld
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/logging"
+)
+
+// Limits of the HTTP servers.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// Parts is what replication and distribution are built on.
+type Parts struct {
+	Settings Settings
+	Ring     *keys.Ring
+	Machine  *control.Machine
+	// Mux serves the link. Handlers are added before Run.
+	Mux    *link.Mux
+	Dialer link.Dialer // to other members
+	Log    *slog.Logger
+}
+
+// Replication replicates the configuration.
+type Replication interface {
+	control.Replicator
+	Close() error
+}
+
+// Options are the exchangeable parts of a daemon.
+type Options struct {
+	// Replicate builds the replication. Nil stands for a single member with a
+	// journal in the data folder.
+	Replicate func(Parts) (Replication, error)
+	// Holder receives each version, for distribution to nodes. May be nil.
+	Holder control.Holder
+	// Register adds handlers to the mux, such as that of
+	// wire.FrameConfigWatch. May be nil.
+	Register func(Parts)
+	// Reached tells which versions are in force at the nodes. May be nil.
+	Reached server.ReachedSource
+	// Members changes the members of the control group. May be nil.
+	Members server.MemberChanger
+}
+
+// Daemon is one running member.
+type Daemon struct {
+	set         Settings
+	log         *slog.Logger
+	parts       Parts
+	options     Options
+	replication Replication
+
+	listener *tlslink.Listener
+	server   *server.Server
+
+	api, debug     *http.Server
+	apiLn, debugLn net.Listener
+}
+
+// New loads the stored configuration and opens the addresses. Run serves them.
+func New(set Settings, log *slog.Logger, options Options) (_ *Daemon, err error) {
+	ring, err := keys.Load(set.KeysDir)
+	if err != nil {
+		return nil, err
+	}
+	if ring.Name != set.NodeID {
+		return nil, fmt.Errorf("controld: node-id is %q but the certificate is for %q", set.NodeID, ring.Name)
+	}
+	host, _, err := net.SplitHostPort(set.LinkAddr)
+	if err != nil {
+		return nil, fmt.Errorf("controld: link address: %w", err)
+	}
+	d := &Daemon{set: set, log: logging.Part(log, "control"), options: options}
+	// A start that fails half-way gives back addresses and files.
+	defer func() {
+		if err != nil {
+			d.release()
+		}
+	}()
+	d.parts = Parts{
+		Settings: set, Ring: ring, Machine: control.NewMachine(), Mux: link.NewMux(logging.Part(log, "link")),
+		Dialer: tlslink.NewDialer(host, ring.Client(keys.RoleControl)), Log: log,
+	}
+	if options.Replicate == nil {
+		options.Replicate = replicateLocally
+	}
+	if d.replication, err = options.Replicate(d.parts); err != nil {
+		return nil, err
+	}
+	if options.Register != nil {
+		options.Register(d.parts)
+	}
+	if err := d.newServer(log); err != nil {
+		return nil, err
+	}
+	return d, d.listen(ring)
+}
+
+func (d *Daemon) newServer(log *slog.Logger) error {
+	log = logging.Part(log, "api")
+	tokens, err := server.LoadTokens(d.set.TokenFile, log)
+	if err != nil {
+		return err
+	}
+	d.server, err = server.New(server.Config{
+		Machine: d.parts.Machine, Replicator: d.replication, Tokens: tokens, NodeID: d.set.NodeID,
+		Reached: d.options.Reached, Members: d.options.Members, Log: log,
+	})
+	return err
+}
+
+func (d *Daemon) listen(ring *keys.Ring) error {
+	var err error
+	if d.listener, err = tlslink.Listen(d.set.LinkAddr, ring.Server()); err != nil {
+		return err
+	}
+	if d.apiLn, err = net.Listen("tcp", d.set.APIAddr); err != nil {
+		return fmt.Errorf("controld: API address: %w", err)
+	}
+	d.api = newHTTPServer(d.server, d.log)
+	d.api.TLSConfig = ring.API()
+	if d.set.DebugAddr == "" {
+		return nil
+	}
+	if d.debugLn, err = net.Listen("tcp", d.set.DebugAddr); err != nil {
+		return fmt.Errorf("controld: debug address: %w", err)
+	}
+	d.debug = newHTTPServer(d.debugHandler(), d.log)
+	return nil
+}
+
+func newHTTPServer(h http.Handler, log *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+}
+
+// Machine returns the replicated configuration.
+func (d *Daemon) Machine() *control.Machine { return d.parts.Machine }
+
+// APIAddr returns the address that the resource API listens on.
+func (d *Daemon) APIAddr() string { return d.apiLn.Addr().String() }
+
+// Run serves until ctx ends, and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	// Servers go on while requests in hand end, so they do not end with ctx.
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, run := errgroup.WithContext(run)
+	listener := d.listener
+	g.Go(func() error { return d.parts.Mux.Serve(run, listener) })
+	g.Go(func() error { return ignoreClosed(d.api.ServeTLS(d.apiLn, "", "")) })
+	if d.debug != nil {
+		g.Go(func() error { return ignoreClosed(d.debug.Serve(d.debugLn)) })
+	}
+	if d.options.Holder != nil {
+		g.Go(func() error { control.Feed(run, d.parts.Machine, d.options.Holder, d.log); return nil })
+	}
+	d.log.Info("member is up", "node", d.set.NodeID, "api", d.apiLn.Addr().String(), "link", listener.Addr(),
+		"version", d.parts.Machine.Version().String())
+	select {
+	case <-ctx.Done():
+	case <-run.Done():
+	}
+	d.log.Info("member is stopping")
+	err := d.shutdown(stop)
+	err = errors.Join(err, g.Wait())
+	if err == nil {
+		d.log.Info("member has stopped")
+	}
+	return err
+}
+
+// shutdown ends watches, waits for requests in hand and closes the rest. stop
+// ends the handlers of the link.
+func (d *Daemon) shutdown(stop context.CancelFunc) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.set.ShutdownTimeout)
+	defer cancel()
+	d.server.Close()
+	err := d.api.Shutdown(ctx)
+	if err != nil {
+		err = fmt.Errorf("controld: requests were still in hand: %w", err)
+	}
+	stop()
+	err = errors.Join(err, d.listener.Close())
+	d.listener = nil
+	d.waitForHandlers(ctx)
+	return errors.Join(err, d.release())
+}
+
+// waitForHandlers waits until the link's handlers have returned or ctx ends,
+// so that none uses the replication after it is closed.
+func (d *Daemon) waitForHandlers(ctx context.Context) {
+	done := make(chan struct{})
+	go func() { d.parts.Mux.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		d.log.Warn("handlers of the link are still running")
+	}
+}
+
+// release closes whatever is open.
+func (d *Daemon) release() error {
+	var errs []error
+	if d.listener != nil {
+		errs = append(errs, d.listener.Close())
+	}
+	if d.api != nil {
+		errs = append(errs, d.api.Close())
+	}
+	if d.apiLn != nil {
+		d.apiLn.Close()
+	}
+	if d.debug != nil {
+		errs = append(errs, d.debug.Close())
+	}
+	if d.replication != nil {
+		errs = append(errs, d.replication.Close())
+	}
+	if d.parts.Dialer != nil {
+		errs = append(errs, d.parts.Dialer.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/controld/debug.go
@@ -0,0 +1,38 @@
+package controld
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+)
+
+// debugHandler serves metrics and health on loopback:
+//
+//	GET /debug/vars   metrics (expvar)
+//	GET /healthz      200 while the control group has a leader, else 503
+func (d *Daemon) debugHandler() http.Handler {
+	vars := map[string]expvar.Var{
+		"control":  d.parts.Machine.Metrics(),
+		"api":      d.server.Metrics(),
+		"memstats": expvar.Get("memstats"),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		out := map[string]json.RawMessage{}
+		for name, v := range vars {
+			out[name] = json.RawMessage(v.String())
+		}
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		enc.Encode(out)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if _, _, ok := d.replication.Leader(); !ok {
+			http.Error(w, "the control group has no leader", http.StatusServiceUnavailable)
+			return
+		}
+		w.Write([]byte("ok\n"))
+	})
+	return mux
+}
--- /dev/null
+++ b/controld/settings.go
@@ -0,0 +1,60 @@
+package controld
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Settings are the settings of a member of the control group. Each has a flag
+// and an environment variable of the same name.
+type Settings struct {
+	NodeID    string `flag:"node-id" usage:"id of this member, unique in the control group and equal to the name in its certificate" validate:"required,max=128"`
+	LinkAddr  string `flag:"link-addr" usage:"IP:port for streams from other processes of the fleet" validate:"required,hostname_port"`
+	APIAddr   string `flag:"api-addr" usage:"IP:port of the resource API over HTTPS; other members redirect clients to it" validate:"required,hostname_port"`
+	DebugAddr string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
+
+	DataDir   string   `flag:"data-dir" usage:"folder with the stored configuration" validate:"required"`
+	KeysDir   string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
+	TokenFile string   `flag:"token-file" usage:"file with the tokens of the resource API, see godwithub token new" validate:"required"`
+	Peers     []string `flag:"peers" usage:"link addresses of the other members, comma-separated; empty: a single member" validate:"dive,hostname_port"`
+
+	ShutdownTimeout time.Duration `flag:"shutdown-timeout" usage:"longest wait for requests in hand at a planned stop" range:"1s to 10m" validate:"min=1s,max=10m"`
+
+	LogLevel  string `flag:"log-level" usage:"least level logged" range:"debug, info, warn or error" validate:"oneof=debug info warn error"`
+	LogFormat string `flag:"log-format" usage:"format of log lines" range:"text or json" validate:"oneof=text json"`
+}
+
+// Defaults returns the default settings.
+func Defaults() Settings {
+	return Settings{ShutdownTimeout: 15 * time.Second, LogLevel: "info", LogFormat: "text"}
+}
+
+// Check returns faults that need more than a rule. Metrics have no
+// authentication, so they are refused outside of loopback.
+func (s *Settings) Check() error {
+	var faults []error
+	if s.DebugAddr != "" {
+		if ip := hostIP(s.DebugAddr); ip == nil || !ip.IsLoopback() {
+			faults = append(faults, fmt.Errorf("-debug-addr: %q is not a loopback IP address and port", s.DebugAddr))
+		}
+	}
+	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"api-addr", s.APIAddr}} {
+		if a.addr == "" {
+			continue // reported as required
+		}
+		if ip := hostIP(a.addr); ip == nil || ip.IsUnspecified() {
+			faults = append(faults, fmt.Errorf("-%s: %q is not an IP address and port that others can reach", a.flag, a.addr))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func hostIP(addr string) net.IP {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil
+	}
+	return net.ParseIP(host)
+}
