Connect control to the fleet

Cause: nodes must get their configuration from control, and control must see which nodes have it. Change: control VMs hand out the configuration and take part in membership, marked as control, so that they get no requests and relay none. Measured: not measured.

--- a/board/controllers.go
+++ b/board/controllers.go
@@ -25,7 +25,7 @@
 // followNodes keeps the other nodes and forgets the dead.
 func followNodes(s *State, e Event, _ time.Time) {
 	c, ok := e.(NodeChanged)
-	if !ok || c.Node.ID == s.Self.ID {
+	if !ok || c.Node.ID == s.Self.ID || c.Node.Control {
 		return
 	}
 	old := s.Nodes[c.Node.ID]
--- a/cmd/godwithub-control/main.go
+++ b/cmd/godwithub-control/main.go
@@ -40,7 +40,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d, err := controld.New(s, log, controld.Options{})
+	fleet, options := controld.NewFleet()
+	defer fleet.Close()
+	d, err := controld.New(s, log, options)
 	if err != nil {
 		return err
 	}
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -54,7 +54,7 @@
 	Holder control.Holder
 	// Register adds handlers to the mux, such as that of
 	// wire.FrameConfigWatch. May be nil.
-	Register func(Parts)
+	Register func(Parts) error
 	// Reached tells which versions are in force at the nodes. May be nil.
 	Reached server.ReachedSource
 	// Members changes the members of the control group. May be nil.
@@ -107,7 +107,9 @@
 		return nil, err
 	}
 	if options.Register != nil {
-		options.Register(d.parts)
+		if err = options.Register(d.parts); err != nil {
+			return nil, err
+		}
 	}
 	if err := d.newServer(log); err != nil {
 		return nil, err
--- /dev/null
+++ b/controld/fleet.go
@@ -0,0 +1,88 @@
+package controld
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/distribute"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/gossip"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Fleet connects a member of the control group to the nodes: it hands out the
+// configuration, and takes part in membership to see which nodes have it.
+type Fleet struct {
+	holder  *distribute.Holder
+	gossip  *gossip.Gossip
+	dialer  link.Dialer
+	stopped chan struct{}
+	cancel  context.CancelFunc
+}
+
+// NewFleet returns options that connect a daemon to the fleet. Close ends the
+// connection.
+func NewFleet() (*Fleet, Options) {
+	f := &Fleet{holder: distribute.NewHolder(), stopped: make(chan struct{})}
+	return f, Options{
+		Holder:   f.holder,
+		Register: f.register,
+		Reached:  server.MemberSource(f.nodes),
+	}
+}
+
+// nodes returns the nodes that membership knows of.
+func (f *Fleet) nodes() []fleet.Node {
+	if f.gossip == nil {
+		return nil
+	}
+	return fleet.NodesOnly(f.gossip.Members())
+}
+
+func (f *Fleet) register(p Parts) error {
+	host, _, err := net.SplitHostPort(p.Settings.LinkAddr)
+	if err != nil {
+		return fmt.Errorf("controld: link address: %w", err)
+	}
+	server := distribute.NewServer(distribute.Config{}, f.holder, p.Log)
+	p.Mux.Handle(wire.FrameConfigPull, server.HandlePull)
+	p.Mux.Handle(wire.FrameConfigWatch, server.HandleWatch)
+	f.dialer = tlslink.NewDialer(host, p.Ring.Client(keys.RoleNode))
+	self := fleet.Node{
+		ID:            fleet.NodeID(p.Settings.NodeID),
+		Incarnation:   uint64(time.Now().UnixMilli()),
+		Region:        p.Settings.Region,
+		FailureDomain: p.Settings.FailureDomain,
+		LinkAddr:      p.Settings.LinkAddr,
+		GossipAddr:    p.Settings.GossipAddr,
+		Control:       true,
+	}
+	f.gossip, err = gossip.New(gossip.Config{Seeds: p.Settings.Seeds}, self, p.Ring.Gossip, f.dialer, p.Log)
+	if err != nil {
+		return err
+	}
+	p.Mux.Handle(wire.FrameMembers, f.gossip.HandleStream)
+	var ctx context.Context
+	ctx, f.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(f.stopped)
+		f.gossip.Run(ctx)
+	}()
+	return nil
+}
+
+// Close leaves membership.
+func (f *Fleet) Close() error {
+	if f.cancel == nil {
+		return nil
+	}
+	f.cancel()
+	<-f.stopped
+	return f.dialer.Close()
+}
--- a/controld/settings.go
+++ b/controld/settings.go
@@ -15,6 +15,11 @@
 	APIAddr   string `flag:"api-addr" usage:"IP:port of the resource API over HTTPS; other members redirect clients to it" validate:"required,hostname_port"`
 	DebugAddr string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
 
+	Region        string   `flag:"region" usage:"region of this VM" validate:"required,max=63"`
+	FailureDomain string   `flag:"failure-domain" usage:"failure domain of this VM" validate:"required,max=63"`
+	GossipAddr    string   `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
+	Seeds         []string `flag:"seeds" usage:"link addresses of nodes to join membership by, comma-separated" validate:"dive,hostname_port"`
+
 	DataDir   string   `flag:"data-dir" usage:"folder with the stored configuration" validate:"required"`
 	KeysDir   string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
 	TokenFile string   `flag:"token-file" usage:"file with the tokens of the resource API, see godwithub token new" validate:"required"`
@@ -40,7 +45,7 @@
 			faults = append(faults, fmt.Errorf("-debug-addr: %q is not a loopback IP address and port", s.DebugAddr))
 		}
 	}
-	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"api-addr", s.APIAddr}} {
+	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"api-addr", s.APIAddr}, {"gossip-addr", s.GossipAddr}} {
 		if a.addr == "" {
 			continue // reported as required
 		}
--- a/distribute/net_test.go
+++ b/distribute/net_test.go
@@ -131,6 +131,8 @@
 	}
 }
 
+func (s *stream) BufferFrame(link.FrameType, []byte) error { panic("not used by distribution") }
+
 func (s *stream) SetReadDeadline(t time.Time) error { s.deadline = t; return nil }
 func (s *stream) Reset()                            { s.end() }
 func (s *stream) PeerName() string                  { return s.to }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/godwithub/godwithub/resource"
@@ -71,6 +72,14 @@
 	State         NodeState        `cbor:"7,keyasint" json:"state"`
 	Upstreams     []Upstream       `cbor:"8,keyasint" json:"upstreams"`
 	Config        resource.Version `cbor:"9,keyasint" json:"config"` // configuration in force at the node
+	// Control marks a control VM, which takes part in membership to see the
+	// fleet. It takes no requests and relays none.
+	Control bool `cbor:"10,keyasint,omitempty" json:"control,omitempty"`
+}
+
+// NodesOnly returns the members that are not control VMs.
+func NodesOnly(members []Node) []Node {
+	return slices.DeleteFunc(slices.Clone(members), func(n Node) bool { return n.Control })
 }
 
 // Usable reports whether the node may be given new work.
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -144,7 +144,7 @@
 	next := meta{
 		Number: c.self.meta.Number, First: c.self.meta.First,
 		Region: n.Region, FailureDomain: n.FailureDomain,
-		LinkAddr: n.LinkAddr, GossipAddr: n.GossipAddr,
+		LinkAddr: n.LinkAddr, GossipAddr: n.GossipAddr, Control: n.Control,
 	}
 	if next == c.self.meta && next.Number != 0 {
 		return
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -41,6 +41,7 @@
 		FailureDomain: m.meta.FailureDomain,
 		LinkAddr:      m.meta.LinkAddr,
 		GossipAddr:    m.meta.GossipAddr,
+		Control:       m.meta.Control,
 		State:         m.status.State,
 		Config:        m.config,
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -85,6 +85,7 @@
 	FailureDomain string
 	LinkAddr      string
 	GossipAddr    string
+	Control       bool
 }
 
 // upstreamEntry is one upstream of a node. One in state UpstreamGone stays as
@@ -97,10 +98,12 @@
 	Slots     int
 	State     fleet.UpstreamState
 	WarmUntil int64 // Unix time in ms, 0 for none
+	Suspect   bool
+	Ejected   bool
 }
 
 func (e upstreamEntry) upstream() fleet.Upstream {
-	u := fleet.Upstream{ID: e.ID, Service: e.Service, Slots: e.Slots, State: e.State}
+	u := fleet.Upstream{ID: e.ID, Service: e.Service, Slots: e.Slots, State: e.State, Suspect: e.Suspect, Ejected: e.Ejected}
 	if e.WarmUntil != 0 {
 		u.WarmUntil = time.UnixMilli(e.WarmUntil)
 	}
@@ -108,7 +111,10 @@
 }
 
 func toEntry(u fleet.Upstream, number uint64) upstreamEntry {
-	e := upstreamEntry{Number: number, ID: u.ID, Service: u.Service, Slots: u.Slots, State: u.State}
+	e := upstreamEntry{
+		Number: number, ID: u.ID, Service: u.Service, Slots: u.Slots, State: u.State,
+		Suspect: u.Suspect, Ejected: u.Ejected,
+	}
 	if !u.WarmUntil.IsZero() {
 		e.WarmUntil = u.WarmUntil.UnixMilli()
 	}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -51,6 +51,15 @@
 	RoleControl Role = "control.godwithub"
 )
 
+// names returns what dialers may expect of a process in the role. Control VMs
+// take part in membership, so nodes dial them as nodes too.
+func (r Role) names() []string {
+	if r == RoleControl {
+		return []string{string(RoleControl), string(RoleNode)}
+	}
+	return []string{string(r)}
+}
+
 // Init makes an authority and a gossip key in dir. It refuses to replace an
 // authority that is there.
 func Init(dir string) error {
@@ -100,7 +109,7 @@
 	template := &x509.Certificate{
 		SerialNumber: serial(),
 		Subject:      pkix.Name{CommonName: name},
-		DNSNames:     []string{string(role)},
+		DNSNames:     role.names(),
 		NotBefore:    time.Now().Add(-clockSkew),
 		NotAfter:     time.Now().Add(lifetime),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
