Take several values in one list flag

Cause: the first run of the daemons failed: the flag library keeps '-seeds a,b' as one value, while the environment variable splits it. Change: lists of addresses are split at commas in both; a test guards it.

--- a/controld/settings.go
+++ b/controld/settings.go
@@ -18,12 +18,12 @@
 	Region        string   `flag:"region" usage:"region of this VM" validate:"required,max=63"`
 	FailureDomain string   `flag:"failure-domain" usage:"failure domain of this VM" validate:"required,max=63"`
 	GossipAddr    string   `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
-	Seeds         []string `flag:"seeds" usage:"link addresses of nodes to join membership by, comma-separated" validate:"dive,hostname_port"`
+	Seeds         []string `flag:"seeds" usage:"link addresses of nodes to join membership by, comma-separated" list:"comma" validate:"dive,hostname_port"`
 
 	DataDir   string   `flag:"data-dir" usage:"folder with the stored configuration" validate:"required"`
 	KeysDir   string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
 	TokenFile string   `flag:"token-file" usage:"file with the tokens of the resource API, see godwithub token new" validate:"required"`
-	Peers     []string `flag:"peers" usage:"link addresses of the other members, comma-separated; empty: a single member" validate:"dive,hostname_port"`
+	Peers     []string `flag:"peers" usage:"link addresses of the other members, comma-separated; empty: a single member" list:"comma" validate:"dive,hostname_port"`
 
 	ShutdownTimeout time.Duration `flag:"shutdown-timeout" usage:"longest wait for requests in hand at a planned stop" range:"1s to 10m" validate:"min=1s,max=10m"`
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -21,8 +21,8 @@
 	DebugAddr    string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
 
 	KeysDir      string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
-	Seeds        []string `flag:"seeds" usage:"link addresses of other nodes to join, comma-separated" validate:"dive,hostname_port"`
-	ControlAddrs []string `flag:"control-addrs" usage:"link addresses of the control VMs, comma-separated" validate:"dive,hostname_port"`
+	Seeds        []string `flag:"seeds" usage:"link addresses of other nodes to join, comma-separated" list:"comma" validate:"dive,hostname_port"`
+	ControlAddrs []string `flag:"control-addrs" usage:"link addresses of the control VMs, comma-separated" list:"comma" validate:"dive,hostname_port"`
 
 	LinkTransport string `flag:"link-transport" usage:"transport between nodes" range:"tls or quic" validate:"oneof=tls quic"`
 	LinkConns     int    `flag:"link-conns" usage:"QUIC connections to each peer" range:"1 to 64" validate:"min=1,max=64"`
@@ -59,6 +59,9 @@
 		}
 	}
 	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"gossip-addr", s.GossipAddr}} {
+		if a.addr == "" {
+			continue // reported as required
+		}
 		host, _, err := net.SplitHostPort(a.addr)
 		if ip := net.ParseIP(host); err != nil || ip == nil || ip.IsUnspecified() {
 			faults = append(faults, fmt.Errorf("-%s: %q is not an IP address and port that others can reach", a.flag, a.addr))
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -35,8 +37,29 @@
 	if err := parser.ParseArgs(args); err != nil {
 		return errors.Join(envErr, fmt.Errorf("settings: %w", err))
 	}
+	splitLists(target)
 	if len(parser.TrailingArguments) > 0 {
 		return fmt.Errorf("settings: unexpected argument %q", parser.TrailingArguments[0])
 	}
 	return errors.Join(envErr, Check(target))
 }
+
+// splitLists splits the elements of fields tagged list:"comma", so that a flag
+// takes several values at once, as its environment variable does.
+func splitLists(target any) {
+	eachField(target, func(f reflect.StructField, v reflect.Value) {
+		list, ok := v.Addr().Interface().(*[]string)
+		if !ok || f.Tag.Get("list") != "comma" {
+			return
+		}
+		var out []string
+		for _, element := range *list {
+			for part := range strings.SplitSeq(element, ",") {
+				if part = strings.TrimSpace(part); part != "" {
+					out = append(out, part)
+				}
+			}
+		}
+		*list = out
+	})
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 //	          variable is then GODWITHUB_LINK_ADDR
 //	usage     what it does, with its unit
 //	validate  rules of go-playground/validator
+//	list      comma, for a []string whose flag takes several values at once
 //	range     the allowed range, for the help text
 //
 // A field's value before Parse is its default. A flag wins over the
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,7 +12,7 @@
 	Addr    string        `flag:"sample-addr" usage:"IP:port" validate:"required,hostname_port"`
 	Timeout time.Duration `flag:"sample-timeout" usage:"wait" range:"1s to 1m" validate:"min=1s,max=1m"`
 	Count   int           `flag:"sample-count" usage:"how many" validate:"min=1,max=9"`
-	Peers   []string      `flag:"sample-peers" usage:"others" validate:"dive,hostname_port"`
+	Peers   []string      `flag:"sample-peers" usage:"others" list:"comma" validate:"dive,hostname_port"`
 }
 
 var program = Program{Name: "sample", Description: "test", Version: "0"}
@@ -37,6 +37,13 @@
 	}
 }
 
+// Guards against a list that can be given by its variable only.
+func TestFlagTakesSeveralValues(t *testing.T) {
+	s := sample{Addr: "127.0.0.1:1", Timeout: time.Second, Count: 3}
+	assert.NilError(t, Parse(program, &s, []string{"-sample-peers", "127.0.0.1:2, 127.0.0.1:3", "-sample-peers", "127.0.0.1:4"}))
+	assert.DeepEqual(t, s.Peers, []string{"127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"})
+}
+
 // Guards against a malformed variable that is taken for the zero value.
 func TestMalformedEnvironmentIsAFault(t *testing.T) {
 	t.Setenv("GODWITHUB_SAMPLE_COUNT", "many")
