Test the assembly of the control process

Change: tests of the settings, of handlers on the link, of the feed to a distribution holder, of the stop with an open watch and of a second process on the data folder.

--- /dev/null
+++ b/controld/controld_test.go
@@ -0,0 +1,143 @@
+package controld
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+func testSettings(t *testing.T) (set Settings, token string) {
+	dir := t.TempDir()
+	set = Defaults()
+	set.NodeID, set.LinkAddr, set.APIAddr, set.DebugAddr = "c1", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	set.DataDir, set.KeysDir, set.TokenFile = filepath.Join(dir, "data"), filepath.Join(dir, "keys"), filepath.Join(dir, "tokens")
+	assert.NilError(t, keys.Init(filepath.Join(dir, "ca")))
+	assert.NilError(t, keys.Issue(filepath.Join(dir, "ca"), set.KeysDir, "c1", keys.RoleControl, time.Hour))
+	token, err := server.NewToken(set.TokenFile, "op", server.RoleAdmin)
+	assert.NilError(t, err)
+	return set, token
+}
+
+// holder is a stand-in for the one of the distribution.
+type holder struct {
+	set  *resource.Set
+	news chan resource.Version
+}
+
+func (h *holder) Version() resource.Version { return h.set.Version() }
+
+func (h *holder) Offer(d resource.Delta) error {
+	next, err := h.set.Apply(d)
+	if err != nil {
+		return err
+	}
+	h.set = next
+	h.news <- next.Version()
+	return nil
+}
+
+// Guards against changes that do not come to the distribution, against links
+// without handlers, and against a stop that waits for watches or leaves the
+// data folder locked.
+func TestDaemon(t *testing.T) {
+	set, token := testSettings(t)
+	h := &holder{resource.NewSet(resource.Version{}), make(chan resource.Version, 10)}
+	options := Options{Holder: h, Register: func(p Parts) {
+		p.Mux.Handle(wire.FrameConfigWatch, func(_ context.Context, s link.Stream, _ link.Frame) {
+			s.WriteFrame(wire.FrameConfigDelta, []byte(s.PeerName()))
+			s.Close()
+		})
+	}}
+	d, err := New(set, logging.Discard(), options)
+	assert.NilError(t, err)
+	_, err = New(set, logging.Discard(), Options{})
+	assert.ErrorContains(t, err, "in use by another process")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+
+	assert.Equal(t, <-h.news, resource.Version{Epoch: 1})
+	r, err := control.Put(ctx, d.replication, &resource.Caller{Meta: resource.Meta{Name: "a"}, Weight: 1})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Code, control.CodeOK)
+	assert.Equal(t, <-h.news, r.Version)
+
+	ring, err := keys.Load(set.KeysDir)
+	assert.NilError(t, err)
+	dialer := tlslink.NewDialer("127.0.0.1", ring.Client(keys.RoleControl))
+	defer dialer.Close()
+	stream, err := dialer.Open(ctx, d.listener.Addr())
+	assert.NilError(t, err)
+	assert.NilError(t, stream.WriteFrame(wire.FrameConfigWatch, nil))
+	frame, err := stream.ReadFrame()
+	assert.NilError(t, err)
+	assert.Equal(t, string(frame.Payload), "c1")
+	assert.NilError(t, stream.Close())
+
+	resp, err := http.Get("http://" + d.debugLn.Addr().String() + "/healthz")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	resp.Body.Close()
+
+	tlsConfig, err := keys.APIClient(filepath.Join(set.KeysDir, "ca.crt"))
+	assert.NilError(t, err)
+	watch := openWatch(t, d.APIAddr(), token, tlsConfig)
+	defer watch.Close()
+	cancel()
+	select {
+	case err := <-ended:
+		assert.NilError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the daemon waits for a watch")
+	}
+	d, err = New(set, logging.Discard(), Options{})
+	assert.NilError(t, err)
+	assert.Equal(t, d.Machine().Version(), r.Version)
+	assert.NilError(t, d.release())
+}
+
+func openWatch(t *testing.T, addr, token string, c *tls.Config) io.ReadCloser {
+	r, err := http.NewRequest(http.MethodGet, "https://"+addr+"/v1/watch", nil)
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	resp, err := (&http.Client{Transport: &http.Transport{TLSClientConfig: c}}).Do(r)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	_, err = resp.Body.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	return resp.Body
+}
+
+// Guards against metrics without authentication outside of loopback, and
+// against a group of several members that silently runs as one.
+func TestSettingsAreChecked(t *testing.T) {
+	set, _ := testSettings(t)
+	assert.NilError(t, set.Check())
+	bad := set
+	bad.DebugAddr, bad.LinkAddr, bad.APIAddr = "192.0.2.1:1", "0.0.0.0:1", "localhost:1"
+	for _, flag := range []string{"debug-addr", "link-addr", "api-addr"} {
+		assert.ErrorContains(t, bad.Check(), flag)
+	}
+	set.Peers = []string{"127.0.0.1:1"}
+	_, err := New(set, logging.Discard(), Options{})
+	assert.ErrorContains(t, err, "takes no peers")
+	set.Peers, set.NodeID = nil, "c2"
+	_, err = New(set, logging.Discard(), Options{})
+	assert.ErrorContains(t, err, "the certificate is for")
+}
