Add the command line godwithub

Cause: operators need to write and watch the configuration from a shell. Measured: go test -race -count=10 ./cli ./client ./controld passes.

--- /dev/null
+++ b/cli/admin.go
@@ -0,0 +1,216 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"github.com/godwithub/godwithub/client"
+	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/keys"
+)
+
+// certificateLifetime is the default lifetime of a process's certificate.
+const certificateLifetime = 90 * 24 * time.Hour
+
+type keyFlags struct {
+	dir, out, name, role string
+	lifetime             time.Duration
+}
+
+func (a *app) addKeys() {
+	f := &keyFlags{lifetime: certificateLifetime}
+	group := a.group("keys", "Makes the fleet's keys.")
+	initialize := a.add(group, "init", "Makes the certificate authority and the gossip key.", func(context.Context) error { return a.keysInit(f) })
+	initialize.String(&f.dir, "", "dir", "folder for the authority; keep it off the fleet's VMs")
+	issue := a.add(group, "issue", "Makes the keys of one process.", func(context.Context) error { return a.keysIssue(f) })
+	issue.String(&f.dir, "", "dir", "folder with the authority")
+	issue.String(&f.out, "", "out", "folder for the keys of the process")
+	issue.String(&f.name, "", "name", "name of the process, its node-id")
+	issue.String(&f.role, "", "role", "node or control")
+	issue.Duration(&f.lifetime, "", "lifetime", "how long the certificate is valid")
+}
+
+func (a *app) keysInit(f *keyFlags) error {
+	if f.dir == "" {
+		return usagef("--dir is required")
+	}
+	if err := keys.Init(f.dir); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "the authority is in %s\n", f.dir)
+	return nil
+}
+
+func (a *app) keysIssue(f *keyFlags) error {
+	roles := map[string]keys.Role{"node": keys.RoleNode, "control": keys.RoleControl}
+	role, ok := roles[f.role]
+	switch {
+	case f.dir == "" || f.out == "" || f.name == "":
+		return usagef("--dir, --out and --name are required")
+	case !ok:
+		return usagef("--role is %q, neither node nor control", f.role)
+	case f.lifetime <= 0:
+		return usagef("--lifetime is not positive")
+	}
+	if err := keys.Issue(f.dir, f.out, f.name, role, f.lifetime); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "the keys of %s are in %s\n", f.name, f.out)
+	return nil
+}
+
+func (a *app) addTokens() {
+	var file, name, role string
+	group := a.group("token", "Makes tokens of the resource API.")
+	c := a.add(group, "new", "Adds a token to a token file and prints its secret.", func(context.Context) error {
+		if file == "" || name == "" {
+			return usagef("--file and --name are required")
+		}
+		r, err := server.ParseRole(role)
+		if err != nil {
+			return usageError{err}
+		}
+		secret, err := server.NewToken(file, name, r)
+		if err != nil {
+			return err
+		}
+		a.printf("%s\n", secret)
+		return nil
+	})
+	c.String(&file, "", "file", "token file, the same at all members of the control group")
+	c.String(&name, "", "name", "name of the token, as it appears in logs")
+	c.String(&role, "", "role", "reader, writer or admin")
+}
+
+type memberFlags struct {
+	id, successor, linkAddr, apiAddr string
+}
+
+func (a *app) addMembers() {
+	f := &memberFlags{}
+	group := a.group("members", "Lists and changes the members of the control group.")
+	a.add(group, "list", "Lists the members.", a.listMembers)
+	add := a.add(group, "add", "Adds a member.", func(ctx context.Context) error { return a.addMember(ctx, f, f.id) })
+	add.AddPositionalValue(&f.id, "id", 1, true, "id of the member")
+	remove := a.add(group, "remove", "Removes a member.", func(ctx context.Context) error { return a.removeMember(ctx, f) })
+	remove.AddPositionalValue(&f.id, "id", 1, true, "id of the member")
+	replace := a.add(group, "replace", "Adds a member and then removes another.", func(ctx context.Context) error {
+		if err := a.addMember(ctx, f, f.successor); err != nil {
+			return err
+		}
+		return a.removeMember(ctx, f)
+	})
+	replace.AddPositionalValue(&f.id, "id", 1, true, "id of the member to remove")
+	replace.AddPositionalValue(&f.successor, "successor", 2, true, "id of the member to add")
+	add.String(&f.linkAddr, "", "link-addr", "link address of the new member, IP:port")
+	add.String(&f.apiAddr, "", "api-addr", "API address of the new member, IP:port")
+	replace.String(&f.linkAddr, "", "link-addr", "link address of the new member, IP:port")
+	replace.String(&f.apiAddr, "", "api-addr", "API address of the new member, IP:port")
+}
+
+func (a *app) listMembers(ctx context.Context) error {
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	members, err := c.Members(ctx)
+	if err != nil {
+		return err
+	}
+	if a.json() {
+		return a.printJSON(members)
+	}
+	t := newTable(a.Out, "ID", "LINK ADDRESS", "API ADDRESS", "VOTER", "LEADER")
+	for _, m := range members {
+		t.row(m.ID, m.LinkAddr, m.APIAddr, strconv.FormatBool(m.Voter), strconv.FormatBool(m.Leader))
+	}
+	return t.flush()
+}
+
+func (a *app) addMember(ctx context.Context, f *memberFlags, id string) error {
+	if f.linkAddr == "" || f.apiAddr == "" {
+		return usagef("--link-addr and --api-addr are required")
+	}
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	m := apiv1.Member{ID: id, LinkAddr: f.linkAddr, APIAddr: f.apiAddr, Voter: true}
+	if _, err := c.PutMember(ctx, m, client.WriteOptions{}); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "member %s was added\n", id)
+	return nil
+}
+
+func (a *app) removeMember(ctx context.Context, f *memberFlags) error {
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	if _, err := c.RemoveMember(ctx, f.id, client.WriteOptions{}); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "member %s was removed\n", f.id)
+	return nil
+}
+
+// snapshotMode keeps a snapshot from other users: it holds change ids.
+const snapshotMode = 0o600
+
+func (a *app) addSnapshots() {
+	var file string
+	group := a.group("snapshot", "Saves and restores the state of the control group.")
+	save := a.add(group, "save", "Saves the state to a file.", func(ctx context.Context) error { return a.saveSnapshot(ctx, file) })
+	save.String(&file, "f", "file", "file to write")
+	restore := a.add(group, "restore", "Replaces the configuration by that of a snapshot, under a higher epoch.", func(ctx context.Context) error { return a.restoreSnapshot(ctx, file) })
+	restore.String(&file, "f", "file", "file to read")
+}
+
+func (a *app) saveSnapshot(ctx context.Context, file string) error {
+	if file == "" {
+		return usagef("-f FILE is required")
+	}
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	state, err := c.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	if err := renameio.WriteFile(file, state, snapshotMode); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "%d bytes are in %s\n", len(state), file)
+	return nil
+}
+
+func (a *app) restoreSnapshot(ctx context.Context, file string) error {
+	if file == "" {
+		return usagef("-f FILE is required")
+	}
+	state, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	done, err := c.Restore(ctx, state, client.WriteOptions{})
+	if err != nil {
+		return err
+	}
+	if a.json() {
+		return a.printJSON(done)
+	}
+	a.printf("version %s\n", done.Version)
+	return nil
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,163 @@
+// Package cli is the operators' command line, godwithub. docs/cli.md describes
+// its commands and exit codes.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/godwithub/godwithub/client"
+	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/settings"
+	"github.com/godwithub/godwithub/version"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1 // any failure without a code of its own
+	ExitUsage       = 2 // wrong arguments or settings
+	ExitConflict    = 3 // a named revision is not the present one
+	ExitUnreachable = 4 // no final answer in time; a write may have taken effect
+	ExitRefused     = 5 // token missing, wrong or of too low a role
+	ExitInvalid     = 6 // faults in resources
+	ExitNotFound    = 7 // no such resource
+	ExitNotReached  = 8 // accepted, but not in force at all nodes in time
+	ExitDifferent   = 9 // diff found differences
+)
+
+// Streams are the standard streams of a run.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+// app is one run of the command line.
+type app struct {
+	Streams
+	options  Options
+	parser   *flaggy.Parser
+	commands map[*flaggy.Subcommand]command
+}
+
+// command is the action of a subcommand.
+type command func(ctx context.Context) error
+
+// usageError is a fault in the arguments.
+type usageError struct{ error }
+
+func usagef(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
+
+// Run carries out args, without the program's name, and returns the exit code.
+// --help, --version and unknown arguments end the process.
+func Run(ctx context.Context, args []string, s Streams) int {
+	a := &app{Streams: s, options: DefaultOptions(), commands: map[*flaggy.Subcommand]command{}}
+	err := a.run(ctx, args)
+	if err != nil && !errors.Is(err, errDifferent) {
+		fmt.Fprintf(s.Err, "godwithub: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) run(ctx context.Context, args []string) error {
+	envErr := settings.FromEnv(&a.options)
+	// Help shows the present values of flags as their defaults; a token from
+	// the environment must not appear there.
+	token := a.options.Token
+	a.options.Token = ""
+	a.build()
+	if err := a.parser.ParseArgs(args); err != nil {
+		return usageError{errors.Join(envErr, err)}
+	}
+	if a.options.Token == "" {
+		a.options.Token = token
+	}
+	if len(a.parser.TrailingArguments) > 0 {
+		return usagef("unexpected argument %q", a.parser.TrailingArguments[0])
+	}
+	if err := errors.Join(envErr, settings.Check(&a.options)); err != nil {
+		return usageError{err}
+	}
+	run := a.commands[a.parser.TrailingSubcommand()]
+	if run == nil {
+		return usagef("a command is missing; see godwithub --help")
+	}
+	return run(ctx)
+}
+
+func (a *app) build() {
+	a.parser = flaggy.NewParser("godwithub")
+	a.parser.Description = "Writes and watches the configuration of a godwithub fleet."
+	a.parser.Version = version.Version
+	a.addOptions()
+	a.addKeys()
+	a.addTokens()
+	a.addResources()
+	a.addWatch()
+	a.addMembers()
+	a.addSnapshots()
+}
+
+// parent is a parser or a subcommand.
+type parent interface {
+	AttachSubcommand(c *flaggy.Subcommand, position int)
+}
+
+// group adds a subcommand that only holds others.
+func (a *app) group(name, description string) *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(name)
+	c.Description = description
+	a.parser.AttachSubcommand(c, 1)
+	return c
+}
+
+// add adds a subcommand that runs do.
+func (a *app) add(to parent, name, description string, do command) *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(name)
+	c.Description = description
+	to.AttachSubcommand(c, 1)
+	a.commands[c] = do
+	return c
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	var unreachable *client.UnreachableError
+	var refused *apiv1.Error
+	var faults *apiv1.FaultsError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.Is(err, errDifferent):
+		return ExitDifferent
+	case errors.Is(err, errNotReached):
+		return ExitNotReached
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	case errors.As(err, &faults):
+		return ExitInvalid
+	case errors.As(err, &refused):
+		return exitCodeOf(refused.Code)
+	}
+	return ExitFailure
+}
+
+func exitCodeOf(c apiv1.ErrorCode) int {
+	switch c {
+	case apiv1.CodeConflict, apiv1.CodeChangeIDReused:
+		return ExitConflict
+	case apiv1.CodeUnauthorized, apiv1.CodeForbidden:
+		return ExitRefused
+	case apiv1.CodeInvalid, apiv1.CodeBadRequest:
+		return ExitInvalid
+	case apiv1.CodeNotFound:
+		return ExitNotFound
+	}
+	return ExitFailure
+}
--- /dev/null
+++ b/cli/output.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// printJSON prints v with indentation.
+func (a *app) printJSON(v any) error {
+	enc := json.NewEncoder(a.Out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// printLine prints v as one line of JSON.
+func (a *app) printLine(v any) error { return json.NewEncoder(a.Out).Encode(v) }
+
+func (a *app) printf(format string, args ...any) { fmt.Fprintf(a.Out, format, args...) }
+
+// table prints rows in columns. The first row is the header.
+type table struct{ w *tabwriter.Writer }
+
+func newTable(out io.Writer, header ...string) *table {
+	t := &table{tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)}
+	t.row(header...)
+	return t
+}
+
+func (t *table) row(cells ...string) { fmt.Fprintln(t.w, strings.Join(cells, "\t")) }
+
+func (t *table) flush() error { return t.w.Flush() }
+
+// field is a field of a resource, by its JSON name.
+type field struct {
+	name  string
+	value any
+}
+
+// fieldsOf returns the fields of o in the order of their declaration, name
+// first, without those that the system sets.
+func fieldsOf(o resource.Object) []field {
+	fields := []field{{"name", o.Metadata().Name}}
+	v := reflect.ValueOf(o).Elem()
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if f.Anonymous {
+			continue
+		}
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		fields = append(fields, field{name, v.Field(i).Interface()})
+	}
+	return fields
+}
+
+// text returns the value for a cell of a table.
+func (f field) text() string {
+	if v := reflect.ValueOf(f.value); v.Kind() == reflect.Slice {
+		b, err := json.Marshal(f.value)
+		if err != nil {
+			return err.Error()
+		}
+		return string(b)
+	}
+	if f.value == "" {
+		return "-"
+	}
+	return fmt.Sprint(f.value)
+}
+
+// printObjects prints objects of one type as a table.
+func (a *app) printObjects(objects []resource.Object) error {
+	if len(objects) == 0 {
+		a.printf("no resources\n")
+		return nil
+	}
+	var header []string
+	for _, f := range fieldsOf(objects[0]) {
+		header = append(header, strings.ToUpper(f.name))
+	}
+	t := newTable(a.Out, append(header, "REVISION")...)
+	for _, o := range objects {
+		var cells []string
+		for _, f := range fieldsOf(o) {
+			cells = append(cells, f.text())
+		}
+		t.row(append(cells, fmt.Sprint(o.Metadata().Revision))...)
+	}
+	return t.flush()
+}
--- a/client/watch.go
+++ b/client/watch.go
@@ -44,8 +44,11 @@
 			pause = backoffMin
 			return handle(e)
 		})
-		if stop || ctx.Err() != nil {
+		switch {
+		case stop:
 			return err
+		case ctx.Err() != nil:
+			return ctx.Err()
 		}
 		select {
 		case <-ctx.Done():
