--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/godwithub/godwithub/resource"
@@ -54,6 +55,10 @@
 	Slots     int           `cbor:"3,keyasint" json:"slots"` // requests it runs at once
 	State     UpstreamState `cbor:"4,keyasint" json:"state"`
 	WarmUntil time.Time     `cbor:"5,keyasint" json:"warmUntil"` // end of its cold start
+	// Suspect says that its dispatcher's evidence speaks against it.
+	Suspect bool `cbor:"6,keyasint,omitempty" json:"suspect,omitempty"`
+	// Ejected says that the service's group has granted its ejection.
+	Ejected bool `cbor:"7,keyasint,omitempty" json:"ejected,omitempty"`
 }
 
 // Node is one node as membership knows it.
@@ -67,6 +72,14 @@
 	State         NodeState        `cbor:"7,keyasint" json:"state"`
 	Upstreams     []Upstream       `cbor:"8,keyasint" json:"upstreams"`
 	Config        resource.Version `cbor:"9,keyasint" json:"config"` // configuration in force at the node
+	// Control marks a control VM, which takes part in membership to see the
+	// fleet. It takes no requests and relays none.
+	Control bool `cbor:"10,keyasint,omitempty" json:"control,omitempty"`
+}
+
+// NodesOnly returns the members that are not control VMs.
+func NodesOnly(members []Node) []Node {
+	return slices.DeleteFunc(slices.Clone(members), func(n Node) bool { return n.Control })
 }
 
 // Usable reports whether the node may be given new work.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -4,10 +4,13 @@
 
 import (
 	"fmt"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/outcome"
 )
@@ -18,7 +21,7 @@
 	FrameAttempt   link.FrameType = 1 // AttemptHead
 	FrameData      link.FrameType = 2 // bytes of a body, in either direction
 	FrameEnd       link.FrameType = 3 // end of the request body; empty
-	FrameAck       link.FrameType = 4 // dispatcher has the attempt; empty
+	FrameAck       link.FrameType = 4 // dispatcher has the attempt; repeated while it goes on; empty
 	FrameAnswer    link.FrameType = 5 // AnswerHead
 	FrameAnswerEnd link.FrameType = 6 // AnswerEnd
 	FrameRelay     link.FrameType = 7 // RelayHead; then an attempt to pass on
@@ -45,6 +48,9 @@
 	Value string `cbor:"2,keyasint"`
 }
 
+// AckInterval is the time between acknowledgements of an attempt that goes on.
+const AckInterval = time.Second
+
 // AttemptHead opens an attempt.
 type AttemptHead struct {
 	AttemptID string `cbor:"1,keyasint"` // unique to this attempt
@@ -68,6 +74,8 @@
 	// Fingerprint is a hash of kind and body, to recognise requests that crash
 	// upstreams.
 	Fingerprint uint64 `cbor:"15,keyasint,omitempty"`
+	// Idempotent says that running the request twice does no harm.
+	Idempotent bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Remaining returns the time left to the deadline.
@@ -75,6 +83,18 @@
 	return time.Duration(h.RemainingMs) * time.Millisecond
 }
 
+// URL returns the URL of the request at the upstream's address.
+func (h *AttemptHead) URL(addr string) *url.URL {
+	path, query, _ := strings.Cut(h.Target, "?")
+	u := &url.URL{Scheme: "http", Host: addr, RawQuery: query}
+	if unescaped, err := url.PathUnescape(path); err == nil {
+		u.Path, u.RawPath = unescaped, path
+	} else {
+		u.Path = path
+	}
+	return u
+}
+
 // AnswerHead starts an answer.
 type AnswerHead struct {
 	RequestID string   `cbor:"1,keyasint"` // must equal that of the attempt
@@ -100,10 +120,18 @@
 	SlotsInUse int `cbor:"1,keyasint"`
 	Slots      int `cbor:"2,keyasint"`
 	Queued     int `cbor:"3,keyasint"`
-	// ShedLevel is the least urgent rank level still admitted; ShedShare is the
-	// share of that level's callers that is refused, from 0 to 1.
-	ShedLevel int     `cbor:"4,keyasint"`
-	ShedShare float64 `cbor:"5,keyasint"`
+	// ShedLevel, ShedShare and Refused are the admission threshold of the
+	// upstream's queue, see admission.Threshold.
+	ShedLevel int                      `cbor:"4,keyasint"`
+	ShedShare float64                  `cbor:"5,keyasint"`
+	Refused   []admission.RefusedShare `cbor:"7,keyasint,omitempty"`
+	// Suspect says that the dispatcher holds the upstream for unhealthy.
+	Suspect bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Threshold returns the admission threshold in l.
+func (l *Load) Threshold() admission.Threshold {
+	return admission.Threshold{Level: l.ShedLevel, Share: l.ShedShare, Refused: l.Refused}
 }
 
 // RelayHead asks a node to pass the attempt that follows on to another node.
