--- a/controld/controld_test.go
+++ b/controld/controld_test.go
@@ -24,7 +24,7 @@
 func testSettings(t *testing.T) (set Settings, token string) {
 	dir := t.TempDir()
 	set = Defaults()
-	set.NodeID, set.LinkAddr, set.APIAddr, set.DebugAddr = "c1", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	set.NodeID, set.LinkAddr, set.APIAddr, set.DebugAddr, set.GossipAddr = "c1", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	set.DataDir, set.KeysDir, set.TokenFile = filepath.Join(dir, "data"), filepath.Join(dir, "keys"), filepath.Join(dir, "tokens")
 	assert.NilError(t, keys.Init(filepath.Join(dir, "ca")))
 	assert.NilError(t, keys.Issue(filepath.Join(dir, "ca"), set.KeysDir, "c1", keys.RoleControl, time.Hour))
@@ -57,11 +57,12 @@
 func TestDaemon(t *testing.T) {
 	set, token := testSettings(t)
 	h := &holder{resource.NewSet(resource.Version{}), make(chan resource.Version, 10)}
-	options := Options{Holder: h, Register: func(p Parts) {
+	options := Options{Holder: h, Register: func(p Parts) error {
 		p.Mux.Handle(wire.FrameConfigWatch, func(_ context.Context, s link.Stream, _ link.Frame) {
 			s.WriteFrame(wire.FrameConfigDelta, []byte(s.PeerName()))
 			s.Close()
 		})
+		return nil
 	}}
 	d, err := New(set, logging.Discard(), options)
 	assert.NilError(t, err)
