Look up the groups once per batch

Cause: each new service of a batch listed all groups again, so the cost of a batch grew with its square. Change: the names of the groups are kept beside their counts.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -15,7 +15,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/control/apiv1"
-	"github.com/godwithub/godwithub/control/server"
 	"github.com/godwithub/godwithub/controld"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/resource"
@@ -67,7 +66,6 @@
 	if withNodes {
 		options.Reached = s
 	}
-	var _ server.ReachedSource = s
 	d, err := controld.New(set, logging.Discard(), options)
 	assert.NilError(s.t, err)
 	s.t.Setenv("GODWITHUB_SERVER", d.APIAddr())
--- a/control/group.go
+++ b/control/group.go
@@ -109,12 +109,12 @@
 // first by name among equals, or "" if there is none. An empty region stands
 // for all.
 func (s *staged) leastUsedGroup(region string) string {
-	names := s.namesAfter(resource.TypeGroup)
 	if s.groupUse == nil {
-		s.countGroupUse(names)
+		s.groups = s.namesAfter(resource.TypeGroup)
+		s.countGroupUse()
 	}
 	best := ""
-	for _, name := range names {
+	for _, name := range s.groups {
 		group := s.get(groupKey(name)).(*resource.Group)
 		if region != "" && group.HomeRegion != region {
 			continue
@@ -128,9 +128,9 @@
 
 // countGroupUse counts the services of each group: those of the set that the
 // batch leaves, and those of the batch that have a group so far.
-func (s *staged) countGroupUse(groups []string) {
-	s.groupUse = make(map[string]int, len(groups))
-	for _, name := range groups {
+func (s *staged) countGroupUse() {
+	s.groupUse = make(map[string]int, len(s.groups))
+	for _, name := range s.groups {
 		for user := range s.m.index.users[groupKey(name)] {
 			if o, written := s.after[user]; !written || o != nil {
 				s.groupUse[name]++
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -162,3 +162,17 @@
 	}
 	assert.NilError(b, l.Close())
 }
+
+// Measures the largest batch of services, each of which needs a group.
+func BenchmarkServiceBatch(b *testing.B) {
+	m := scaleMachine(b)
+	objects := make([]resource.Object, MaxWrites)
+	for i := range objects {
+		objects[i] = service(fmt.Sprintf("batch-%d", i), "north")
+	}
+	c := puts(b, objects...)
+	b.ResetTimer()
+	for range b.N {
+		assert.Equal(b, m.DryRun(c.Writes).Code, CodeOK)
+	}
+}
--- a/control/stage.go
+++ b/control/stage.go
@@ -18,8 +18,9 @@
 	writes []Write
 	// after holds the object that each written key will have; nil if deleted.
 	after map[resource.Key]resource.Object
-	// groupUse counts the services of each group after the batch. It is built
-	// when the first service needs a group.
+	// groups are the names of all groups after the batch and groupUse counts
+	// their services. Both are built when the first service needs a group.
+	groups   []string
 	groupUse map[string]int
 	result   Result
 }
