--- /dev/null
+++ b/scenario/fault.go
@@ -0,0 +1,76 @@
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// httpTimeout bounds each HTTP request of a script's command.
+const httpTimeout = 2 * time.Second
+
+var httpClient = &http.Client{Timeout: httpTimeout}
+
+// faultCommand sets the faults of a stand-in that was started with the flag
+// -admin-listen.
+func faultCommand(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return misused("usage: fault NAME JSON|none|drain|undrain")
+	}
+	p, err := w.process(args[0])
+	if err != nil {
+		return err
+	}
+	admin := p.flag("admin-listen")
+	if admin == "" {
+		return misused("process %q has no -admin-listen", args[0])
+	}
+	switch args[1] {
+	case "none":
+		return adminRequest(http.MethodDelete, admin, "/faults", "")
+	case "drain":
+		return adminRequest(http.MethodPut, admin, "/drain", "")
+	case "undrain":
+		return adminRequest(http.MethodDelete, admin, "/drain", "")
+	}
+	return adminRequest(http.MethodPut, admin, "/faults", args[1])
+}
+
+// flag returns the value that the process was given for a flag, or "".
+func (p *process) flag(name string) string {
+	for i, arg := range p.args {
+		flag, value, joined := strings.Cut(strings.TrimLeft(arg, "-"), "=")
+		if flag != name || !strings.HasPrefix(arg, "-") {
+			continue
+		}
+		if joined {
+			return value
+		}
+		if i+1 < len(p.args) {
+			return p.args[i+1]
+		}
+	}
+	return ""
+}
+
+func adminRequest(method, addr, path, body string) error {
+	req, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		return misused("%v", err)
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: status %d: %s", method, path, resp.StatusCode, bytes.TrimSpace(text))
+	}
+	return nil
+}
