Start control groups and daemons in scenarios

Cause: the daemons of nodes and control are there now. Change: the fleet command starts godwithub-node and godwithub-control with keys, a token and seeds, writes configurations through the resource API, and waits until all nodes have the version that was applied.

--- /dev/null
+++ b/scenario/control.go
@@ -0,0 +1,192 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/resource"
+)
+
+const (
+	// firstControlVM is the VM of the first control process.
+	firstControlVM = 51
+	// applyBound is how long a write may take, with an election before it.
+	applyBound = 10 * time.Second
+)
+
+// controlState is the control group of one script.
+type controlState struct {
+	count  int
+	secret string // token of the scripts
+	client *http.Client
+	// applied is the version of the last accepted write.
+	applied resource.Version
+}
+
+func controlName(i int) string { return "c" + strconv.Itoa(i) }
+
+// controlAddrs returns the addresses of all control VMs at a port.
+func (w *world) controlAddrs(port int) []string {
+	var out []string
+	for i := range w.control.count {
+		out = append(out, joinPort(w.vm(firstControlVM+i), port))
+	}
+	return out
+}
+
+// startControl starts a control group.
+func (w *world) startControl(text string) error {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 || n > 9 {
+		return misused("%q is no number of control VMs", text)
+	}
+	if w.control.count > 0 {
+		return misused("the control group runs already")
+	}
+	w.control.count = n
+	w.control.secret, err = server.NewToken(w.tokenFile(), "scenario", server.RoleAdmin)
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		name := controlName(i + 1)
+		dir, err := w.issueKeys(name, keys.RoleControl)
+		if err != nil {
+			return err
+		}
+		if err := w.start(name, controlProgram, w.controlFlags(name, w.vm(firstControlVM+i), dir)); err != nil {
+			return err
+		}
+	}
+	return w.newClient()
+}
+
+func (w *world) tokenFile() string { return filepath.Join(w.work, "keys", "tokens") }
+
+func (w *world) newClient() error {
+	conf, err := keys.APIClient(filepath.Join(w.work, "keys", "authority", "ca.crt"))
+	if err != nil {
+		return err
+	}
+	w.control.client = &http.Client{
+		Timeout:   httpTimeout,
+		Transport: &http.Transport{TLSClientConfig: conf},
+		// A redirect to the leader would lose the token on its way to another host.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return nil
+}
+
+// applyConfig writes a JSON list of resources, each with a field "type", as
+// one batch. Resources that exist are replaced.
+func (w *world) applyConfig(text string) error {
+	var list []json.RawMessage
+	if err := json.Unmarshal([]byte(text), &list); err != nil {
+		return misused("configuration: %v", err)
+	}
+	var request apiv1.ApplyRequest
+	for _, raw := range list {
+		o, err := apiv1.Decode("", raw)
+		if err != nil {
+			return misused("configuration: %v", err)
+		}
+		request.Writes = append(request.Writes, apiv1.Write{Op: apiv1.OpPut, Object: &apiv1.Resource{Object: o}})
+	}
+	// Resends after a lost answer carry the same change id.
+	changeID := uuid.NewString()
+	return waitUntil(applyBound, func() error {
+		for _, write := range request.Writes {
+			if err := w.setRevision(write.Object.Object); err != nil {
+				return err
+			}
+		}
+		return w.submit(&request, changeID)
+	})
+}
+
+// setRevision sets the revision of o to that of the resource it replaces.
+func (w *world) setRevision(o resource.Object) error {
+	var current apiv1.Resource
+	status, body, err := w.callControl(http.MethodGet, "/v1/"+resource.KeyOf(o).String(), nil, "")
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		o.Metadata().Revision = 0
+		return nil
+	}
+	if err := json.Unmarshal(body, &current); err != nil {
+		return err
+	}
+	o.Metadata().Revision = current.Metadata().Revision
+	return nil
+}
+
+func (w *world) submit(request *apiv1.ApplyRequest, changeID string) error {
+	b, err := json.Marshal(request)
+	if err != nil {
+		return misused("%v", err)
+	}
+	status, body, err := w.callControl(http.MethodPost, "/v1/apply", b, changeID)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("apply: status %d: %s", status, body)
+	}
+	var applied apiv1.Applied
+	if err := json.Unmarshal(body, &applied); err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	w.control.applied = applied.Version
+	return nil
+}
+
+// callControl asks each control VM in turn until one answers as the leader.
+func (w *world) callControl(method, path string, body []byte, changeID string) (status int, answer []byte, err error) {
+	err = errors.New("no control group was started")
+	for _, addr := range w.controlAddrs(portAPI) {
+		status, answer, err = w.callOne(method, "https://"+addr+path, body, changeID)
+		if err == nil {
+			return status, answer, nil
+		}
+	}
+	return 0, nil, err
+}
+
+func (w *world) callOne(method, url string, body []byte, changeID string) (int, []byte, error) {
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+w.control.secret)
+	req.Header.Set("Content-Type", "application/json")
+	if changeID != "" {
+		req.Header.Set(apiv1.HeaderChangeID, changeID)
+	}
+	resp, err := w.control.client.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, err
+	}
+	if resp.StatusCode/100 == 3 || resp.StatusCode == http.StatusServiceUnavailable {
+		return 0, nil, fmt.Errorf("%s %s: status %d: %s", method, url, resp.StatusCode, b)
+	}
+	return resp.StatusCode, b, nil
+}
--- a/scenario/env.go
+++ b/scenario/env.go
@@ -44,6 +44,7 @@
 	processes map[string]*process
 	relays    map[string]*relay
 	fleet     *fleetState
+	control   *controlState
 }
 
 type worldKey struct{}
@@ -104,7 +105,7 @@
 	e.Defer(func() { <-scriptSlots })
 	w := &world{
 		work: e.WorkDir, programs: programs,
-		processes: map[string]*process{}, relays: map[string]*relay{}, fleet: &fleetState{},
+		processes: map[string]*process{}, relays: map[string]*relay{}, fleet: &fleetState{}, control: &controlState{},
 	}
 	if err := w.takeNetwork(); err != nil {
 		return err
--- a/scenario/flags.go
+++ b/scenario/flags.go
@@ -1,23 +1,62 @@
 package scenario
 
-import (
-	"path/filepath"
+import "path/filepath"
+
+// This file alone knows the program and flag names of the daemons.
+
+const (
+	nodeProgram    = "godwithub-node"
+	controlProgram = "godwithub-control"
 )
 
-// This file alone knows the daemons' program and flag names.
+// The region and failure domain of control VMs.
+const (
+	controlRegion = "doto"
+	controlDomain = "obihiro-a"
+)
 
-const nodeProgram = "filenode"
+// repeated returns a flag once for each value.
+func repeated(flag string, values []string) []string {
+	var out []string
+	for _, v := range values {
+		out = append(out, flag, v)
+	}
+	return out
+}
 
 func (w *world) nodeFlags(n *fleetNode, keyDir, region, domain string) []string {
-	return []string{
+	flags := []string{
 		"-node-id", n.name, "-region", region, "-failure-domain", domain,
 		"-caller-addr", n.addr(portCaller), "-link-addr", n.addr(portLink),
 		"-gossip-addr", n.addr(portGossip), "-announce-addr", n.addr(portAnnounce),
 		"-debug-addr", n.addr(portDebug), "-keys", keyDir,
 	}
+	flags = append(flags, repeated("-control-addrs", w.controlAddrs(portLink))...)
+	return append(flags, repeated("-seeds", w.seeds())...)
 }
 
-// applyConfig puts a configuration in force.
-func (w *world) applyConfig(text string) error {
-	return writeFile(filepath.Join(w.work, "shared", "config.json"), []byte(text))
+// seeds are the link addresses of the first nodes and of control, so that a
+// fleet forms in whatever order its processes start.
+func (w *world) seeds() []string {
+	const seedNodes = 3
+	var out []string
+	for i := range seedNodes {
+		out = append(out, joinPort(w.vm(i+1), portLink))
+	}
+	return out
+}
+
+func (w *world) controlFlags(name, ip, keyDir string) []string {
+	flags := []string{
+		"-node-id", name, "-region", controlRegion, "-failure-domain", controlDomain,
+		"-link-addr", joinPort(ip, portLink), "-gossip-addr", joinPort(ip, portGossip),
+		"-api-addr", joinPort(ip, portAPI), "-debug-addr", joinPort(ip, portDebug),
+		"-data-dir", filepath.Join(w.work, "data", name), "-keys", keyDir, "-token-file", w.tokenFile(),
+	}
+	for _, addr := range w.controlAddrs(portLink) {
+		if addr != joinPort(ip, portLink) {
+			flags = append(flags, "-peers", addr)
+		}
+	}
+	return append(flags, repeated("-seeds", w.seeds())...)
 }
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -12,11 +11,14 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/godwithub/godwithub/control/apiv1"
 	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/resource"
 )
 
 // The fleet command starts daemons with sensible flags:
 //
+//	fleet control N                            start a control group of N on VMs of their own
 //	fleet config FILE|default                  put a configuration in force
 //	fleet node NAME REGION DOMAIN [FLAG...]    start a node on the next free VM
 //	fleet upstream NAME NODE SERVICE [FLAG...] start a stand-in on the VM of a node
@@ -32,6 +34,7 @@
 	portGossip   = 7001
 	portAnnounce = 7002
 	portDebug    = 7003
+	portAPI      = 8443
 	// portUpstream is that of the VM's first upstream; its admin endpoint is
 	// portAdminOffset above.
 	portUpstream    = 9001
@@ -50,7 +53,9 @@
 	upstreams int // started on the VM so far
 }
 
-func (n *fleetNode) addr(port int) string { return net.JoinHostPort(n.ip, strconv.Itoa(port)) }
+func (n *fleetNode) addr(port int) string { return joinPort(n.ip, port) }
+
+func joinPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
 func (f *fleetState) node(name string) *fleetNode {
 	for _, n := range f.nodes {
@@ -63,9 +68,11 @@
 
 func fleetCommand(w *world, ts *testscript.TestScript, args []string) error {
 	if len(args) < 2 {
-		return misused("usage: fleet config|node|upstream|ready ...")
+		return misused("usage: fleet control|config|node|upstream|ready ...")
 	}
 	switch action, rest := args[0], args[1:]; {
+	case action == "control" && len(rest) == 1:
+		return w.startControl(rest[0])
 	case action == "config" && len(rest) == 1:
 		if rest[0] == "default" {
 			return w.applyConfig(defaultConfig)
@@ -149,16 +156,16 @@
 		if p, err := w.process(n.name); err != nil || !p.running() {
 			continue
 		}
-		if err := waitUntil(bound, func() error { return n.knows(want) }); err != nil {
+		if err := waitUntil(bound, func() error { return n.knows(want, w.control.applied) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// knows returns nil if the node has a configuration and knows that many
-// upstreams.
-func (n *fleetNode) knows(upstreams int) error {
+// knows returns nil if the node has a configuration no older than applied and
+// knows that many upstreams.
+func (n *fleetNode) knows(upstreams int, applied resource.Version) error {
 	_, body, err := get("http://" + n.addr(portDebug) + "/v1/view")
 	if err != nil {
 		return err
@@ -171,8 +178,9 @@
 	for _, list := range v.Upstreams {
 		known += len(list)
 	}
-	if v.Config == "" || known != upstreams {
-		return fmt.Errorf("%s knows configuration %q and %d upstreams of %d", n.name, v.Config, known, upstreams)
+	version, err := apiv1.ParseVersion(v.Config)
+	if err != nil || version.Less(applied) || known != upstreams {
+		return fmt.Errorf("%s knows configuration %q (%s was applied) and %d upstreams of %d", n.name, v.Config, applied, known, upstreams)
 	}
 	return nil
 }
@@ -198,10 +206,3 @@
 	}
 	return out, nil
 }
-
-func writeFile(path string, b []byte) error {
-	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		return fmt.Errorf("scenario: %w", err)
-	}
-	return os.WriteFile(path, b, 0o644)
-}
