node: let a node announce another link address

Cause: scenarios of one-way cuts and silent connections need a relay in front of a node's link address, and address translation needs the same. Change: -link-advertise; empty as before. Conclusion: gossip-addr still lacks the same setting, in package gossip.

--- a/node/new.go
+++ b/node/new.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"net"
@@ -53,7 +54,7 @@
 		Incarnation:   uint64(time.Now().UnixMilli()),
 		Region:        set.Region,
 		FailureDomain: set.FailureDomain,
-		LinkAddr:      set.LinkAddr,
+		LinkAddr:      cmp.Or(set.LinkAdvertise, set.LinkAddr),
 		GossipAddr:    set.GossipAddr,
 	}
 	n.board = board.New(self, prefixed(log, "board"), n.perform, board.Controllers()...)
--- a/node/settings.go
+++ b/node/settings.go
@@ -14,11 +14,14 @@
 	Region        string `flag:"region" usage:"region of this VM" validate:"required,max=63"`
 	FailureDomain string `flag:"failure-domain" usage:"failure domain of this VM" validate:"required,max=63"`
 
-	CallerAddr   string `flag:"caller-addr" usage:"IP:port for callers, HTTP/1.1 and HTTP/2 without TLS" validate:"required,hostname_port"`
-	LinkAddr     string `flag:"link-addr" usage:"IP:port for streams from other processes of the fleet" validate:"required,hostname_port"`
-	GossipAddr   string `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
-	AnnounceAddr string `flag:"announce-addr" usage:"IP:port on loopback for announcements of this VM's upstreams" validate:"required,hostname_port"`
-	DebugAddr    string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
+	CallerAddr string `flag:"caller-addr" usage:"IP:port for callers, HTTP/1.1 and HTTP/2 without TLS" validate:"required,hostname_port"`
+	LinkAddr   string `flag:"link-addr" usage:"IP:port for streams from other processes of the fleet" validate:"required,hostname_port"`
+	// Others may reach this process at another address than it listens on, such
+	// as that of an address translator or, in scenarios, of a relay.
+	LinkAdvertise string `flag:"link-advertise" usage:"IP:port that others dial instead of link-addr; empty: link-addr" validate:"omitempty,hostname_port"`
+	GossipAddr    string `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
+	AnnounceAddr  string `flag:"announce-addr" usage:"IP:port on loopback for announcements of this VM's upstreams" validate:"required,hostname_port"`
+	DebugAddr     string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
 
 	KeysDir      string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
 	Seeds        []string `flag:"seeds" usage:"link addresses of other nodes to join, comma-separated" validate:"dive,hostname_port"`
