--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -206,3 +206,15 @@
 	}
 	return out, nil
 }
+
+// showViews logs what each node knows of the fleet.
+func (w *world) showViews(t testscript.T) {
+	for _, n := range w.fleet.nodes {
+		_, body, err := get("http://" + n.addr(portDebug) + "/v1/view")
+		if err != nil {
+			t.Log(fmt.Sprintf("view of %s: %v", n.name, err))
+			continue
+		}
+		t.Log(fmt.Sprintf("view of %s: %.3000s", n.name, body))
+	}
+}
