--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -10,6 +10,7 @@
 //	proc kill NAME                       SIGKILL
 //	proc freeze NAME | proc thaw NAME    SIGSTOP | SIGCONT
 //	proc restart NAME                    start again as before
+//	proc keep NAME                       start again whenever it ends by itself
 //	proc exits NAME CODE BOUND           the process ends by itself
 //	proc wipe NAME                       remove $WORK/data/NAME
 //	relay start NAME LISTEN TARGET       forward TCP and UDP
--- a/scenario/env.go
+++ b/scenario/env.go
@@ -40,11 +40,14 @@
 	network  string // first three numbers of the addresses
 	lock     net.Listener
 
+	closing chan struct{} // closed when the script ends
+
 	mu        sync.Mutex
 	processes map[string]*process
 	relays    map[string]*relay
 	fleet     *fleetState
 	control   *controlState
+	watch     *versionWatch
 }
 
 type worldKey struct{}
@@ -104,7 +107,8 @@
 	scriptSlots <- struct{}{}
 	e.Defer(func() { <-scriptSlots })
 	w := &world{
-		work: e.WorkDir, programs: programs,
+		closing: make(chan struct{}),
+		work:    e.WorkDir, programs: programs,
 		processes: map[string]*process{}, relays: map[string]*relay{}, fleet: &fleetState{}, control: &controlState{},
 	}
 	if err := w.takeNetwork(); err != nil {
@@ -153,6 +157,10 @@
 	if failed {
 		w.showViews(t)
 	}
+	// No process starts once the lock has been held after this.
+	close(w.closing)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, p := range w.processes {
 		p.end()
 	}
--- a/scenario/flags.go
+++ b/scenario/flags.go
@@ -35,9 +35,13 @@
 	return append(flags, repeated("-seeds", w.seeds())...)
 }
 
-// seeds is the link address of the first node. With several seeds, processes
-// that start at once form groups that take minutes to find each other.
-func (w *world) seeds() []string { return []string{joinPort(w.vm(1), portLink)} }
+// seeds is the link address of the first node, unless the script says otherwise.
+func (w *world) seeds() []string {
+	if w.fleet.seeds != nil {
+		return w.fleet.seeds
+	}
+	return []string{joinPort(w.vm(1), portLink)}
+}
 
 func (w *world) controlFlags(name, ip, keyDir string) []string {
 	flags := []string{
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -18,11 +18,16 @@
 
 // The fleet command starts daemons with sensible flags:
 //
+//	fleet seeds ADDR...                        link addresses to join by, instead of the first node's
 //	fleet control N                            start a control group of N on VMs of their own
 //	fleet config FILE|default                  put a configuration in force
 //	fleet node NAME REGION DOMAIN [FLAG...]    start a node on the next free VM
 //	fleet upstream NAME NODE SERVICE [FLAG...] start a stand-in on the VM of a node
 //	fleet ready UPSTREAMS BOUND                all running nodes know the configuration and that many upstreams
+//	fleet applied BOUND                        all running nodes have the configuration that was written last
+//	fleet changes N                            write N changes, one after the other
+//	fleet watch                                watch the configuration version of each node from here on
+//	fleet steady                               no node went back to an older version since
 //
 // After fleet node, $NAME is the address of the node's VM. The flag @nodes of
 // load stands for the caller addresses of all nodes, and @NAME for that of one.
@@ -44,6 +49,7 @@
 // fleetState is the fleet of one script.
 type fleetState struct {
 	nodes []*fleetNode // in the order of their start
+	seeds []string     // link addresses; nil: the first node
 }
 
 // fleetNode is one node and its VM.
@@ -67,8 +73,8 @@
 }
 
 func fleetCommand(w *world, ts *testscript.TestScript, args []string) error {
-	if len(args) < 2 {
-		return misused("usage: fleet control|config|node|upstream|ready ...")
+	if len(args) < 1 {
+		return misused("usage: fleet ACTION ...")
 	}
 	switch action, rest := args[0], args[1:]; {
 	case action == "control" && len(rest) == 1:
@@ -86,6 +92,18 @@
 		return err
 	case action == "upstream" && len(rest) >= 3:
 		return w.startUpstream(rest[0], rest[1], rest[2], rest[3:])
+	case action == "seeds" && len(rest) > 0:
+		w.fleet.seeds = rest
+		return nil
+	case action == "applied" && len(rest) == 1:
+		return w.waitApplied(rest[0])
+	case action == "changes" && len(rest) == 1:
+		return w.makeChanges(rest[0])
+	case action == "watch" && len(rest) == 0:
+		w.watch = newVersionWatch(w)
+		return nil
+	case action == "steady" && len(rest) == 0:
+		return w.watch.verdict()
 	case action == "ready" && len(rest) == 2:
 		return w.waitReady(rest[0], rest[1])
 	}
@@ -118,7 +136,9 @@
 	}
 	n := &fleetNode{name: name, ip: w.vm(len(w.fleet.nodes) + 1)}
 	flags := w.nodeFlags(n, dir, region, domain)
+	w.mu.Lock()
 	w.fleet.nodes = append(w.fleet.nodes, n)
+	w.mu.Unlock()
 	return n, w.start(name, nodeProgram, append(flags, extra...))
 }
 
--- a/scenario/process.go
+++ b/scenario/process.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,8 @@
 	stopBound = 15 * time.Second
 	// shownLogBytes is how much of the end of each log a failure shows.
 	shownLogBytes = 6000
+	// keepWait is the time from the end of a kept process to its restart.
+	keepWait = 500 * time.Millisecond
 )
 
 // process is one program under a name. It keeps its flags for a restart.
@@ -31,6 +34,8 @@
 	logPath string
 	cmd     *exec.Cmd
 	done    chan struct{} // closed when the process has ended
+	// asked is set once the script has stopped or killed the process.
+	asked atomic.Bool
 }
 
 func procCommand(w *world, ts *testscript.TestScript, args []string) error {
@@ -70,6 +75,9 @@
 		return w.start(name, filepath.Base(p.program), p.args)
 	case "exits":
 		return p.expectExit(rest)
+	case "keep":
+		go w.keep(p)
+		return nil
 	}
 	return misused("proc %s: no such action", action)
 }
@@ -86,6 +94,11 @@
 func (w *world) start(name, program string, args []string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	select {
+	case <-w.closing:
+		return misused("the script has ended")
+	default:
+	}
 	if old := w.processes[name]; old != nil && old.running() {
 		return misused("process %q runs already", name)
 	}
@@ -115,6 +128,26 @@
 	return nil
 }
 
+// keep restarts a process whenever it ends by itself, as the platform does
+// with upstreams, until the script ends.
+func (w *world) keep(p *process) {
+	for {
+		<-p.done
+		select {
+		case <-w.closing:
+			return
+		case <-time.After(keepWait):
+		}
+		if p.asked.Load() || w.start(p.name, filepath.Base(p.program), p.args) != nil {
+			return
+		}
+		var err error
+		if p, err = w.process(p.name); err != nil {
+			return
+		}
+	}
+}
+
 func (w *world) wipe(name string) error {
 	w.mu.Lock()
 	p := w.processes[name]
@@ -161,6 +194,7 @@
 	if !p.running() {
 		return fmt.Errorf("%s has ended before it was stopped: %s", p.name, p.cmd.ProcessState)
 	}
+	p.asked.Store(true)
 	if err := p.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
@@ -174,6 +208,7 @@
 }
 
 func (p *process) kill() error {
+	p.asked.Store(true)
 	if err := p.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -27,6 +27,7 @@
 	ConnectCost  time.Duration `flag:"connect-cost" usage:"work for each new connection, one after the other" validate:"min=0"`
 	ProbeCost    time.Duration `flag:"probe-cost" usage:"time that a probe of /healthz occupies a slot" validate:"min=0"`
 	DrainMin     time.Duration `flag:"drain-min" usage:"least time from the announcement of drain to the exit" validate:"min=0"`
+	CrashMarker  string        `flag:"crash-marker" usage:"fault in force from the start: a request whose body contains it ends the process"`
 	RunLog       string        `flag:"run-log" usage:"file to append a JSON line to for each start and end of a run; empty for none"`
 	LogLevel     string        `flag:"log-level" usage:"debug, info, warn or error" validate:"oneof=debug info warn error"`
 }
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -78,6 +78,7 @@
 		listener: newCostlyListener(inner, s.Connections, s.ConnectCost),
 		exit:     exitProcess,
 		changed:  make(chan struct{}),
+		faults:   Faults{CrashMarker: s.CrashMarker},
 	}
 	u.server = &http.Server{Handler: http.HandlerFunc(u.serve), ReadHeaderTimeout: readHeaderTimeout}
 	u.announce = newAnnouncer(u)
