--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -26,6 +26,7 @@
 //	fleet ready UPSTREAMS BOUND                all running nodes know the configuration and that many upstreams
 //	fleet applied BOUND                        all running nodes have the configuration that was written last
 //	fleet changes N                            write N changes, one after the other
+//	fleet race N                               operators change the same resource at once, N times, and resend
 //	fleet watch                                watch the configuration version of each node from here on
 //	fleet steady                               no node went back to an older version since
 //
@@ -99,6 +100,8 @@
 		return w.waitApplied(rest[0])
 	case action == "changes" && len(rest) == 1:
 		return w.makeChanges(rest[0])
+	case action == "race" && len(rest) == 1:
+		return w.raceWrites(rest[0])
 	case action == "watch" && len(rest) == 0:
 		w.watch = newVersionWatch(w)
 		return nil
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -52,4 +52,6 @@
 
 func TestRedCrashingRequest(t *testing.T) { runRed(t, "f8_crashing.txtar") }
 
+func TestRedColdStart(t *testing.T) { runRed(t, "f7_cold_start.txtar") }
+
 func TestRedFloodByOneCaller(t *testing.T) { runRed(t, "f3_flood_one_caller.txtar") }
