--- /dev/null
+++ b/scenario/flags.go
@@ -0,0 +1,59 @@
+package scenario
+
+import "path/filepath"
+
+// This file alone knows the program and flag names of the daemons.
+
+const (
+	nodeProgram    = "godwithub-node"
+	controlProgram = "godwithub-control"
+)
+
+// The region and failure domain of control VMs.
+const (
+	controlRegion = "doto"
+	controlDomain = "obihiro-a"
+)
+
+// repeated returns a flag once for each value.
+func repeated(flag string, values []string) []string {
+	var out []string
+	for _, v := range values {
+		out = append(out, flag, v)
+	}
+	return out
+}
+
+func (w *world) nodeFlags(n *fleetNode, keyDir, region, domain string) []string {
+	flags := []string{
+		"-node-id", n.name, "-region", region, "-failure-domain", domain,
+		"-caller-addr", n.addr(portCaller), "-link-addr", n.addr(portLink),
+		"-gossip-addr", n.addr(portGossip), "-announce-addr", n.addr(portAnnounce),
+		"-debug-addr", n.addr(portDebug), "-keys", keyDir,
+	}
+	flags = append(flags, repeated("-control-addrs", w.controlAddrs(portLink))...)
+	return append(flags, repeated("-seeds", w.seeds())...)
+}
+
+// seeds is the link address of the first node, unless the script says otherwise.
+func (w *world) seeds() []string {
+	if w.fleet.seeds != nil {
+		return w.fleet.seeds
+	}
+	return []string{joinPort(w.vm(1), portLink)}
+}
+
+func (w *world) controlFlags(name, ip, keyDir string) []string {
+	flags := []string{
+		"-node-id", name, "-region", controlRegion, "-failure-domain", controlDomain,
+		"-link-addr", joinPort(ip, portLink), "-gossip-addr", joinPort(ip, portGossip),
+		"-api-addr", joinPort(ip, portAPI), "-debug-addr", joinPort(ip, portDebug),
+		"-data-dir", filepath.Join(w.work, "data", name), "-keys", keyDir, "-token-file", w.tokenFile(),
+	}
+	for _, addr := range w.controlAddrs(portLink) {
+		if addr != joinPort(ip, portLink) {
+			flags = append(flags, "-peers", addr)
+		}
+	}
+	return append(flags, repeated("-seeds", w.seeds())...)
+}
--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,57 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// programs is the folder of the built programs, for all scripts.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "godwithub-scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	if err := Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	programs = dir
+	return m.Run()
+}
+
+// Runs all scripts. Each says at its top which failure it guards against.
+func TestScenarios(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts many processes")
+	}
+	testscript.Run(t, Params("testdata", programs))
+}
+
+// runRed runs one script that fails because of a fault listed in
+// KNOWN-RED.txt. Each has a test of its own, so that it can be passed over by
+// name; it moves to testdata once it passes.
+func runRed(t *testing.T, script string) {
+	if testing.Short() {
+		t.Skip("starts many processes")
+	}
+	p := Params("", programs)
+	p.Files = []string{"testdata/red/" + script}
+	testscript.Run(t, p)
+}
+
+func TestRedCrashingRequest(t *testing.T) { runRed(t, "f8_crashing.txtar") }
+
+func TestRedColdStart(t *testing.T) { runRed(t, "f7_cold_start.txtar") }
+
+func TestRedFloodByOneCaller(t *testing.T) { runRed(t, "f3_flood_one_caller.txtar") }
--- a/standin/settings.go
+++ b/standin/settings.go
@@ -12,6 +12,7 @@
 	ID           string        `flag:"id" usage:"id of this upstream, unique in the fleet" validate:"required"`
 	Service      string        `flag:"service" usage:"service that it belongs to" validate:"required"`
 	Listen       string        `flag:"listen" usage:"IP:port to serve requests at" validate:"hostname_port"`
+	Advertise    string        `flag:"advertise" usage:"IP:port to announce instead of listen, for a relay between" validate:"omitempty,hostname_port"`
 	AdminListen  string        `flag:"admin-listen" usage:"IP:port of the admin endpoint; empty for none" validate:"omitempty,hostname_port"`
 	AnnounceAddr string        `flag:"announce-addr" usage:"IP:port of its node's announcements; empty for none" validate:"omitempty,hostname_port"`
 	Lease        time.Duration `flag:"lease" usage:"lease that it asks for; repeated every third of it" validate:"min=100ms"`
@@ -26,6 +27,7 @@
 	ConnectCost  time.Duration `flag:"connect-cost" usage:"work for each new connection, one after the other" validate:"min=0"`
 	ProbeCost    time.Duration `flag:"probe-cost" usage:"time that a probe of /healthz occupies a slot" validate:"min=0"`
 	DrainMin     time.Duration `flag:"drain-min" usage:"least time from the announcement of drain to the exit" validate:"min=0"`
+	CrashMarker  string        `flag:"crash-marker" usage:"fault in force from the start: a request whose body contains it ends the process"`
 	RunLog       string        `flag:"run-log" usage:"file to append a JSON line to for each start and end of a run; empty for none"`
 	LogLevel     string        `flag:"log-level" usage:"debug, info, warn or error" validate:"oneof=debug info warn error"`
 }
