gossip: keep pushes going while many changes are queued

Cause: in a simulated fleet of 200 nodes that all announced 11 upstreams at once, a drain was not known everywhere within 10 s. The 2,600 queued changes used up the budget of pushes and were each sent 16 times by each node. Change: half of the push budget is kept for urgent changes (draining or gone upstreams; suspect, leaving and dead nodes), which also go first on probes. A change that comes in again counts as sent while the queue is long. The search for the next deadline and for fresh changes no longer walks all entries.

--- a/gossip/apply.go
+++ b/gossip/apply.go
@@ -97,6 +97,7 @@
 		return
 	}
 	m := c.add(now, r.Node)
+	c.noteDuplicates(m, &r)
 	if r.Status != nil && r.Status.supersedes(m.status) {
 		c.setStatus(now, m, *r.Status)
 	}
@@ -113,16 +114,33 @@
 	}
 }
 
+// noteDuplicates tells the queue which parts of r were known already.
+func (c *core) noteDuplicates(m *member, r *record) {
+	limit := c.retransmitLimit()
+	if r.Status != nil && *r.Status == m.status {
+		c.queue.duplicate(part{m.id, partStatus, ""}, limit)
+	}
+	if r.Meta != nil && r.Meta.Number == m.meta.Number {
+		c.queue.duplicate(part{m.id, partMeta, ""}, limit)
+	}
+	for _, e := range r.Upstreams {
+		if e.Number == m.upstreams[e.ID].Number {
+			c.queue.duplicate(part{m.id, partUpstream, e.ID}, limit)
+		}
+	}
+}
+
 // setStatus changes the state of another node and passes it on.
 func (c *core) setStatus(now time.Time, m *member, s status) {
 	if Boot(s.Incarnation) > Boot(m.status.Incarnation) {
 		m.config = resource.Version{}
 	}
 	m.status = s
-	m.deadline, m.deadSince = time.Time{}, time.Time{}
+	m.deadSince = time.Time{}
+	c.setDeadline(m, time.Time{})
 	switch s.State {
 	case fleet.NodeSuspect:
-		m.deadline = now.Add(c.suspicionTimeout())
+		c.setDeadline(m, now.Add(c.suspicionTimeout()))
 		c.counters.Suspicions.Add(1)
 	case fleet.NodeDead:
 		m.deadSince = now
--- a/gossip/config.go
+++ b/gossip/config.go
@@ -38,8 +38,9 @@
 	// PushBytesPerSecond bounds what pushes send over time. Default 4,000 B/s.
 	// Beyond it, changes wait for probes.
 	PushBytesPerSecond int
-	// PushBurstBytes is what pushes may send at once. Default 65,536 B. A larger
-	// one keeps pushes going through mass events such as the loss of a failure
+	// PushBurstBytes is what pushes may send at once. Default 65,536 B. The last
+	// half is kept for changes that take capacity away: states of nodes, and
+	// upstreams that drain or are gone. A larger one keeps pushes going through mass events such as the loss of a failure
 	// domain, at the cost of a higher peak of traffic.
 	PushBurstBytes int
 	// RetransmitFactor times log2 of the fleet's size is how often a node sends
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -40,7 +40,8 @@
 	number uint64 // last number given to a part of the own record
 
 	members map[fleet.NodeID]*member
-	order   []*member // all members but the own, by id
+	order   []*member        // all members but the own, by id
+	silent  map[*member]bool // those with a deadline
 	queue   *queue
 	probing probing
 	pushing pushing
@@ -70,6 +71,7 @@
 		self:     self,
 		number:   incarnation,
 		members:  map[fleet.NodeID]*member{local.ID: self},
+		silent:   map[*member]bool{},
 		queue:    newQueue(),
 		stale:    true,
 		joining:  true,
@@ -223,7 +225,7 @@
 func (c *core) renumber() {
 	c.number++
 	c.self.meta.Number, c.self.meta.First = c.number, c.number
-	c.queue.dropNode(c.self.id)
+	c.queue.removeIf(func(p part) bool { return p.node == c.self.id })
 	c.queueStatus(c.self)
 	c.queueMeta(c.self)
 	for _, id := range c.ownUpstreams() {
@@ -238,18 +240,19 @@
 
 func (c *core) queueStatus(m *member) {
 	s := m.status
-	c.queue.add(part{m.id, partStatus, ""}, record{Node: m.id, Status: &s}, true)
+	c.queue.add(part{m.id, partStatus, ""}, record{Node: m.id, Status: &s}, s.State != fleet.NodeAlive)
 	c.touch(m)
 }
 
 func (c *core) queueMeta(m *member) {
 	x := m.meta
-	c.queue.add(part{m.id, partMeta, ""}, record{Node: m.id, Meta: &x}, true)
+	c.queue.add(part{m.id, partMeta, ""}, record{Node: m.id, Meta: &x}, false)
 	c.touch(m)
 }
 
 func (c *core) queueUpstream(m *member, e upstreamEntry) {
-	c.queue.add(part{m.id, partUpstream, e.ID}, record{Node: m.id, Upstreams: []upstreamEntry{e}}, true)
+	urgent := e.State == fleet.UpstreamDraining || e.State == fleet.UpstreamGone
+	c.queue.add(part{m.id, partUpstream, e.ID}, record{Node: m.id, Upstreams: []upstreamEntry{e}}, urgent)
 	c.touch(m)
 }
 
@@ -319,8 +322,9 @@
 		old := m.status.State == fleet.NodeDead && now.Sub(m.deadSince) >= c.cfg.DeadRetention ||
 			!m.known() && now.Sub(m.created) >= placeholderRetention
 		if old {
+			c.setDeadline(m, time.Time{})
 			delete(c.members, m.id)
-			c.queue.dropNode(m.id)
+			c.queue.removeIf(func(p part) bool { return p.node == m.id })
 		}
 		return old
 	})
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -117,11 +117,7 @@
 
 // settleOthers drops all queued changes but the own.
 func (c *core) settleOthers() {
-	for p := range c.queue.items {
-		if p.node != c.self.id {
-			delete(c.queue.items, p)
-		}
-	}
+	c.queue.removeIf(func(p part) bool { return p.node != c.self.id })
 }
 
 // exchangePartner returns a random member for a full exchange, now and then a
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -72,7 +72,7 @@
 		earlier(c.probing.failAt)
 	}
 	earlier(c.pushing.at)
-	for _, m := range c.order {
+	for m := range c.silent {
 		earlier(m.deadline)
 	}
 	return t
@@ -214,7 +214,7 @@
 		// It may have ended or be about to. Only this node waits for it, since
 		// suspicion would hide that it is leaving.
 		if m.deadline.IsZero() {
-			m.deadline = now.Add(c.suspicionTimeout())
+			c.setDeadline(m, now.Add(c.suspicionTimeout()))
 		}
 	}
 }
@@ -233,7 +233,7 @@
 		return
 	}
 	if p.target.status.State == fleet.NodeLeaving {
-		p.target.deadline = time.Time{}
+		c.setDeadline(p.target, time.Time{})
 	}
 	p.target = nil
 	p.score = max(p.score-1, 0)
@@ -265,8 +265,23 @@
 	return time.Duration(c.cfg.SuspicionFactor * sizeLog(c.size()) * float64(c.cfg.ProbeInterval))
 }
 
+// setDeadline sets when a silent member is declared dead; the zero time
+// withdraws that.
+func (c *core) setDeadline(m *member, t time.Time) {
+	m.deadline = t
+	if t.IsZero() {
+		delete(c.silent, m)
+	} else {
+		c.silent[m] = true
+	}
+}
+
 // tickSuspicions declares dead the members that were silent for too long.
 func (c *core) tickSuspicions(now time.Time) {
+	if len(c.silent) == 0 {
+		return
+	}
+	// The order of members, unlike that of the map, is the same in each run.
 	for _, m := range c.order {
 		if m.deadline.IsZero() || m.deadline.After(now) {
 			continue
--- a/gossip/push.go
+++ b/gossip/push.go
@@ -38,16 +38,19 @@
 	}
 	c.refill(now)
 	for c.queue.hasFresh() {
-		if c.pushing.tokens <= 0 {
+		if half := c.cfg.PushBurstBytes / 2; c.pushing.tokens <= float64(half) {
+			// The rest is kept for urgent changes.
+			c.queue.settle(c.pushing.tokens <= 0)
 			c.counters.PushesLimited.Add(1)
-			c.queue.settle()
-			return
+			if !c.queue.hasFresh() {
+				return
+			}
 		}
 		targets := c.pushTargets(local)
 		b := c.newBuilder(kindPush, 0, "")
 		b.addAll(c.queue.take(b.room, true, len(targets), c.retransmitLimit()))
 		if len(b.msg.Updates) == 0 {
-			c.queue.settle()
+			c.queue.settle(true)
 			return
 		}
 		for _, m := range targets {
--- a/gossip/queue.go
+++ b/gossip/queue.go
@@ -10,6 +10,11 @@
 	"github.com/godwithub/godwithub/fleet"
 )
 
+// backlog is the length from which a queue counts a change that comes in again
+// as sent. The change is then known widely, and the queue holds more than fits
+// one datagram.
+const backlog = 16
+
 // part names one part of a node's record. A queued change replaces an older
 // one of the same part.
 type part struct {
@@ -32,6 +37,8 @@
 	raw   cbor.RawMessage
 	sends int
 	order uint64
+	// urgent changes take capacity away from where others may send work.
+	urgent bool
 	// fresh changes have not been pushed.
 	fresh bool
 }
@@ -41,26 +48,59 @@
 type queue struct {
 	items map[part]*queued
 	order uint64
+	fresh int // number of fresh changes
 }
 
 func newQueue() *queue { return &queue{items: map[part]*queued{}} }
 
-func (q *queue) add(p part, r record, fresh bool) {
+// add queues a change, to be pushed.
+func (q *queue) add(p part, r record, urgent bool) {
+	q.remove(p)
 	q.order++
-	q.items[p] = &queued{part: p, raw: mustEncode(r), order: q.order, fresh: fresh}
+	q.items[p] = &queued{part: p, raw: mustEncode(r), order: q.order, urgent: urgent, fresh: true}
+	q.fresh++
+}
+
+func (q *queue) remove(p part) {
+	if it := q.items[p]; it != nil {
+		q.unfresh(it)
+		delete(q.items, p)
+	}
+}
+
+func (q *queue) unfresh(it *queued) {
+	if it.fresh {
+		it.fresh = false
+		q.fresh--
+	}
 }
 
-// dropNode removes all changes of a node.
-func (q *queue) dropNode(id fleet.NodeID) {
+// removeIf removes the changes for which f is true.
+func (q *queue) removeIf(f func(part) bool) {
 	for p := range q.items {
-		if p.node == id {
-			delete(q.items, p)
+		if f(p) {
+			q.remove(p)
 		}
 	}
 }
 
-// sorted returns the changes, those sent least first, then the newest.
+// duplicate notes that a change came in again.
+func (q *queue) duplicate(p part, limit int) {
+	it := q.items[p]
+	if it == nil || len(q.items) < backlog {
+		return
+	}
+	if it.sends++; it.sends >= limit {
+		q.remove(p)
+	}
+}
+
+// sorted returns the changes, the urgent ones first, then those sent least,
+// then the newest.
 func (q *queue) sorted(freshOnly bool) []*queued {
+	if freshOnly && q.fresh == 0 {
+		return nil
+	}
 	out := make([]*queued, 0, len(q.items))
 	for _, it := range q.items {
 		if it.fresh || !freshOnly {
@@ -68,10 +108,13 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *queued) int {
-		if n := cmp.Compare(a.sends, b.sends); n != 0 {
-			return n
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
 		}
-		return cmp.Compare(b.order, a.order)
+		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(b.order, a.order))
 	})
 	return out
 }
@@ -87,28 +130,23 @@
 		room -= len(it.raw)
 		out = append(out, it.raw)
 		it.sends += receivers
-		it.fresh = false
+		q.unfresh(it)
 		if it.sends >= limit {
-			delete(q.items, it.part)
+			q.remove(it.part)
 		}
 	}
 	return out
 }
 
 // hasFresh reports whether a change waits for its push.
-func (q *queue) hasFresh() bool {
-	for _, it := range q.items {
-		if it.fresh {
-			return true
-		}
-	}
-	return false
-}
+func (q *queue) hasFresh() bool { return q.fresh > 0 }
 
-// settle leaves all changes to probes.
-func (q *queue) settle() {
+// settle leaves changes to probes: all, or those that are not urgent.
+func (q *queue) settle(urgent bool) {
 	for _, it := range q.items {
-		it.fresh = false
+		if urgent || !it.urgent {
+			q.unfresh(it)
+		}
 	}
 }
 
--- a/gossip/sim_test.go
+++ b/gossip/sim_test.go
@@ -12,7 +12,7 @@
 
 // sim runs cores on a network in memory under a clock of its own.
 type sim struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Time
 	rand  *rand.Rand
 	cores map[string]*core // by address; a stopped node has none
@@ -23,6 +23,8 @@
 	cut    func(from, to string) bool
 	loss   float64
 	events map[fleet.NodeID][]fleet.Node // what each node reported, by reporter
+	wakes  []time.Time                   // when each node's tick is due
+	bytes  int                           // sent, with all headers
 }
 
 type letter struct {
@@ -52,6 +54,12 @@
 
 func addrOf(i int) string { return fmt.Sprintf("127.0.0.1:%d", 1000+i) }
 
+func indexOf(addr string) int {
+	var i int
+	fmt.Sscanf(addr, "127.0.0.1:%d", &i)
+	return i - 1000
+}
+
 func localNode(i, regions int) fleet.Node {
 	return fleet.Node{
 		ID:         fleet.NodeID(fmt.Sprintf("node-%03d", i)),
@@ -62,7 +70,7 @@
 }
 
 // newSim starts n nodes that know each other, in the given number of regions.
-func newSim(t *testing.T, n, regions int, seed uint64) *sim {
+func newSim(t testing.TB, n, regions int, seed uint64) *sim {
 	s := &sim{
 		t: t, now: time.Unix(1_800_000_000, 0), rand: rand.New(rand.NewPCG(seed, 1)),
 		cores: map[string]*core{}, cut: func(_, _ string) bool { return false },
@@ -101,7 +109,9 @@
 		s.nodes[i] = c
 	} else {
 		s.nodes = append(s.nodes, c)
+		s.wakes = append(s.wakes, time.Time{})
 	}
+	s.wakes[i] = c.next()
 	s.cores[addrOf(i)] = c
 	return c
 }
@@ -125,11 +135,13 @@
 	packets, changed := c.drain()
 	s.events[c.self.id] = append(s.events[c.self.id], changed...)
 	from := c.self.meta.GossipAddr
+	s.wakes[indexOf(from)] = c.next()
 	for _, p := range packets {
 		if len(p.payload) > maxPlain {
 			s.t.Fatalf("message of %d bytes", len(p.payload))
 		}
 		s.sent++
+		s.bytes += len(p.payload) + sealOverhead + packetOverhead
 		if s.cut(from, p.addr) || s.rand.Float64() < s.loss {
 			continue
 		}
@@ -144,10 +156,9 @@
 	for {
 		at := end
 		var due *core
-		for i := range s.nodes {
-			c := s.cores[addrOf(i)]
-			if c != nil && c.next().Before(at) {
-				at, due = c.next(), c
+		for i, wake := range s.wakes {
+			if wake.Before(at) && s.cores[addrOf(i)] != nil {
+				at, due = wake, s.nodes[i]
 			}
 		}
 		if len(s.mail) > 0 && !s.mail[0].at.After(at) {
