trials: add the measurement of the decision packages

Cause: policies must be compared on equal traces, against older methods. Change: a model of one service with a fake clock, the two methods to compare with, tables for detection, false ejections, overload, attempts and cost; ByteBudget.Enough, since the bytes are taken only if the choice crosses regions.

--- a/balance/bytes.go
+++ b/balance/bytes.go
@@ -48,16 +48,19 @@
 	}
 }
 
+// Enough reports whether Allow would succeed. It is for Request.CrossAllowed:
+// the bytes are taken only if the choice crosses regions.
+func (b *ByteBudget) Enough(now time.Time, level int, bytes int64) bool {
+	level = min(max(level, 0), b.levels-1)
+	reserve := b.burst * float64(level) / float64(b.levels)
+	return b.limiter.TokensAt(now)-float64(bytes) >= reserve
+}
+
 // Allow takes the expected bytes of a request and its answer from the budget
 // and reports whether there was enough. Less urgent levels must leave more of
 // the budget over, so that it is the urgent ones that get the last of it.
 func (b *ByteBudget) Allow(now time.Time, level int, bytes int64) bool {
-	level = min(max(level, 0), b.levels-1)
-	reserve := b.burst * float64(level) / float64(b.levels)
-	if b.limiter.TokensAt(now)-float64(bytes) < reserve {
-		return false
-	}
-	return b.limiter.AllowN(now, int(bytes))
+	return b.Enough(now, level, bytes) && b.limiter.AllowN(now, int(bytes))
 }
 
 // Correct accounts for bytes beyond those that Allow was asked for. The budget
--- /dev/null
+++ b/internal/trials/methods.go
@@ -0,0 +1,166 @@
+package trials
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/health"
+)
+
+// method is a way to find sick upstreams.
+type method interface {
+	observe(now time.Time, worker, kind int, r health.Result, latency time.Duration)
+	// second passes one interval; workers' intervals end at different times.
+	second(now time.Time, worker int)
+	suspect(now time.Time, worker int) bool
+	sick(now time.Time, worker int) (severity float64, yes bool)
+	reset(worker int)
+	// baseline returns the peers' behaviour for trials, or nil.
+	baseline(worker, kind int) *health.KindBaseline
+}
+
+// Methods names the methods, the project's first.
+var Methods = []string{"sequential", "consecutive", "windows"}
+
+func newMethod(name string, d *Deployment) method {
+	switch name {
+	case "consecutive":
+		return &consecutive{failures: make([]int, d.Workers)}
+	case "windows":
+		return newWindows(d)
+	}
+	return newSequential(d)
+}
+
+// sequential is the project's own method.
+type sequential struct {
+	d         *Deployment
+	pool      *health.Pool
+	detectors []*health.Detector
+	baselines []health.Baseline
+}
+
+func upstreamID(worker int) fleet.UpstreamID { return fleet.UpstreamID(fmt.Sprintf("u%02d", worker)) }
+
+func newSequential(d *Deployment) *sequential {
+	s := &sequential{d: d, pool: health.NewPool(), baselines: make([]health.Baseline, d.Workers)}
+	for w := range d.Workers {
+		s.detectors = append(s.detectors, health.NewDetector(upstreamID(w), health.Options{}))
+	}
+	return s
+}
+
+func (s *sequential) observe(now time.Time, worker, kind int, r health.Result, latency time.Duration) {
+	s.detectors[worker].Observe(now, s.d.Kinds[kind].Name, r, latency)
+}
+
+func (s *sequential) second(now time.Time, worker int) {
+	s.pool.Add(now, s.detectors[worker].Close())
+	b := s.pool.Baseline(now, upstreamID(worker))
+	s.baselines[worker] = b
+	s.detectors[worker].Update(b)
+}
+
+func (s *sequential) suspect(now time.Time, worker int) bool {
+	return s.detectors[worker].Verdict(now).Level >= health.Suspect
+}
+
+func (s *sequential) sick(now time.Time, worker int) (float64, bool) {
+	v := s.detectors[worker].Verdict(now)
+	return v.Severity, v.Level == health.Sick
+}
+
+func (s *sequential) reset(worker int) { s.detectors[worker].Reset() }
+
+func (s *sequential) baseline(worker, kind int) *health.KindBaseline {
+	return s.baselines[worker].Kind(s.d.Kinds[kind].Name)
+}
+
+// consecutive ejects after a number of failures or timeouts in a row.
+type consecutive struct{ failures []int }
+
+const consecutiveLimit = 5
+
+func (c *consecutive) observe(_ time.Time, worker, _ int, r health.Result, _ time.Duration) {
+	switch r {
+	case health.Succeeded:
+		c.failures[worker] = 0
+	case health.Failed, health.TimedOut:
+		c.failures[worker]++
+	}
+}
+
+func (c *consecutive) second(time.Time, int)       {}
+func (c *consecutive) suspect(time.Time, int) bool { return false }
+func (c *consecutive) sick(_ time.Time, worker int) (float64, bool) {
+	return 1, c.failures[worker] >= consecutiveLimit
+}
+func (c *consecutive) reset(worker int)                       { c.failures[worker] = 0 }
+func (c *consecutive) baseline(int, int) *health.KindBaseline { return nil }
+
+// windows ejects an upstream whose failures, or whose mean latency against the
+// mean of all upstreams, are over a limit in a fixed window.
+type windows struct {
+	current []window
+	verdict []bool
+}
+
+type window struct {
+	attempts, failures int
+	latency            time.Duration
+	seconds            int
+}
+
+// The limits let the method find what the trials ask for: 10% of failures and
+// 3 times slower work.
+const (
+	windowSeconds  = 10
+	windowMinimum  = 20
+	windowFailures = 0.05
+	windowSlowness = 2.0
+)
+
+func newWindows(d *Deployment) *windows {
+	return &windows{current: make([]window, d.Workers), verdict: make([]bool, d.Workers)}
+}
+
+func (w *windows) observe(_ time.Time, worker, _ int, r health.Result, latency time.Duration) {
+	if r == health.Ignored {
+		return
+	}
+	c := &w.current[worker]
+	c.attempts++
+	if r != health.Succeeded {
+		c.failures++
+		return
+	}
+	c.latency += latency
+}
+
+func (w *windows) second(_ time.Time, worker int) {
+	c := &w.current[worker]
+	if c.seconds++; c.seconds < windowSeconds {
+		return
+	}
+	total, attempts := time.Duration(0), 0
+	for i := range w.current {
+		total += w.current[i].latency
+		attempts += w.current[i].attempts - w.current[i].failures
+	}
+	if c.attempts >= windowMinimum {
+		w.verdict[worker] = float64(c.failures) > windowFailures*float64(c.attempts)
+		if answered := c.attempts - c.failures; answered > 0 && attempts > 0 {
+			mean := float64(total) / float64(attempts)
+			w.verdict[worker] = w.verdict[worker] || float64(c.latency)/float64(answered) > windowSlowness*mean
+		}
+	}
+	*c = window{}
+}
+
+func (w *windows) suspect(time.Time, int) bool                  { return false }
+func (w *windows) sick(_ time.Time, worker int) (float64, bool) { return 1, w.verdict[worker] }
+func (w *windows) reset(worker int) {
+	w.current[worker], w.verdict[worker] = window{}, false
+}
+func (w *windows) baseline(int, int) *health.KindBaseline { return nil }
--- /dev/null
+++ b/internal/trials/stats.go
@@ -0,0 +1,83 @@
+package trials
+
+import (
+	"time"
+
+	"github.com/godwithub/godwithub/outcome"
+)
+
+// warmUp is the time at the start of a trace that is not counted.
+const warmUp = 20 * time.Second
+
+// Stats are the counts of one run, by kind.
+type Stats struct {
+	Events   int
+	AtSick   int // attempts that ran at the upstream with a fault
+	Crossed  int
+	Requests []int
+	Attempts []int
+	InTime   []int
+	Late     []int // answered after the deadline
+	Failed   []int // not answered for another reason than a refusal
+	Refused  []int
+	SlotTime []time.Duration // used, also by work that failed
+	Useful   []time.Duration // mean service time of the answers in time
+	from     time.Duration   // requests that arrive earlier are not counted
+	d        *Deployment
+}
+
+func newStats(d *Deployment) Stats {
+	n := len(d.Kinds)
+	return Stats{
+		Requests: make([]int, n), Attempts: make([]int, n), InTime: make([]int, n),
+		Late: make([]int, n), Failed: make([]int, n), Refused: make([]int, n),
+		SlotTime: make([]time.Duration, n), Useful: make([]time.Duration, n), d: d, from: warmUp,
+	}
+}
+
+// counts reports whether a request arrived late enough.
+func (s *Stats) counts(r *request) bool {
+	return r.deadline-s.d.Kinds[r.kind].Deadline >= s.from
+}
+
+func (s *Stats) add(counter []int, r *request) {
+	if s.counts(r) {
+		counter[r.kind]++
+	}
+}
+
+func (s *Stats) arrived(_ time.Duration, r *request)   { s.add(s.Requests, r) }
+func (s *Stats) attempted(_ time.Duration, r *request) { s.add(s.Attempts, r) }
+
+func (s *Stats) served(at time.Duration, r *request, service time.Duration) {
+	if at >= s.from {
+		s.SlotTime[r.kind] += service
+	}
+}
+
+func (s *Stats) answered(at time.Duration, r *request) {
+	if at > r.deadline {
+		s.add(s.Late, r)
+		return
+	}
+	s.add(s.InTime, r)
+	if at >= s.from {
+		s.Useful[r.kind] += s.d.Kinds[r.kind].Service
+	}
+}
+
+func (s *Stats) failed(_ time.Duration, r *request, e outcome.Ended) {
+	if e.Outcome == outcome.NotRun {
+		s.add(s.Refused, r)
+		return
+	}
+	s.add(s.Failed, r)
+}
+
+func sum[T int | time.Duration](values []T) T {
+	var n T
+	for _, v := range values {
+		n += v
+	}
+	return n
+}
--- /dev/null
+++ b/internal/trials/worker.go
@@ -0,0 +1,132 @@
+package trials
+
+import (
+	"time"
+
+	"github.com/godwithub/godwithub/admission"
+	"github.com/godwithub/godwithub/health"
+	"github.com/godwithub/godwithub/outcome"
+)
+
+// worker is an upstream with its dispatcher.
+type worker struct {
+	s      *sim
+	number int
+	queue  *admission.Queue
+	inUse  int
+	queued map[uint64]*request
+	noise  *noise // nil: none
+}
+
+func newWorker(s *sim, number int) *worker {
+	w := &worker{s: s, number: number, queued: map[uint64]*request{}}
+	if s.tr.Noise {
+		w.noise = newNoise(s.arrival, s.tr.Duration)
+	}
+	w.queue = admission.New(admission.Options{Slots: s.d.Slots})
+	var shares []admission.RankShare
+	for level, share := range s.d.Shares {
+		shares = append(shares, admission.RankShare{Level: level, Share: share})
+	}
+	w.queue.SetRanks(shares)
+	return w
+}
+
+func (w *worker) offer(r *request) {
+	w.s.nextID++
+	back := w.s.d.oneWay(w.number, r.ingress)
+	t := admission.Ticket{
+		ID: w.s.nextID, Level: r.kind, Caller: w.s.callers[r.caller].name, Weight: 1,
+		Deadline: epoch.Add(r.deadline - back), Retry: r.attempts > 1,
+		Expected: w.s.d.Kinds[r.kind].Service,
+	}
+	ok, reason, evicted := w.queue.Offer(w.s.now(), t)
+	for _, e := range evicted {
+		w.refuse(e.ID, outcome.ReasonShed)
+	}
+	if !ok {
+		w.respond(r, outcome.HasNotRun(reason))
+		return
+	}
+	w.queued[t.ID] = r
+	w.pump()
+}
+
+func (w *worker) refuse(id uint64, reason outcome.Reason) {
+	r := w.queued[id]
+	delete(w.queued, id)
+	w.respond(r, outcome.HasNotRun(reason))
+}
+
+// pump starts queued work while there are free slots.
+func (w *worker) pump() {
+	for w.inUse < w.s.d.Slots {
+		t, expired, ok := w.queue.Next(w.s.now())
+		for _, e := range expired {
+			w.refuse(e.ID, outcome.ReasonDeadline)
+		}
+		if !ok {
+			return
+		}
+		r := w.queued[t.ID]
+		delete(w.queued, t.ID)
+		w.start(t, r)
+	}
+}
+
+func (w *worker) start(t admission.Ticket, r *request) {
+	w.inUse++
+	if w.number == sickWorker && w.s.at >= w.s.stats.from {
+		w.s.stats.AtSick++
+	}
+	f := Fault{}
+	if w.s.tr.FaultOf != nil {
+		f = w.s.tr.FaultOf(w.s.at, w.number, r.kind)
+	}
+	mean := float64(w.s.d.Kinds[r.kind].Service) * max(f.Slowness, 1)
+	service := time.Duration(mean * r.cost)
+	failures := f.Failures
+	if w.noise != nil {
+		// The fraction beyond the thousandths of luck serves as a second number.
+		x := r.luck * 1000
+		service = w.noise.service(w.s.at, service, x-float64(int(x)), r.luck)
+		failures += noiseFailures
+	}
+	result := health.Succeeded
+	// A retry has its own luck.
+	if luck := r.luck * float64(r.attempts); luck-float64(int(luck)) < failures {
+		result = health.Failed
+		service /= 4
+	}
+	if left := t.Deadline.Sub(w.s.now()); service > left {
+		result, service = health.TimedOut, left
+	}
+	w.s.after(service, func() { w.finish(t, r, result, service) })
+}
+
+func (w *worker) finish(t admission.Ticket, r *request, result health.Result, service time.Duration) {
+	w.inUse--
+	w.queue.Done(w.s.now(), t, service)
+	w.s.stats.served(w.s.at, r, service)
+	w.s.control.observe(w.number, r.kind, result, service)
+	switch result {
+	case health.Succeeded:
+		w.respond(r, outcome.Ended{Outcome: outcome.Answered})
+	case health.Failed:
+		w.respond(r, outcome.MayHaveRun(outcome.ReasonLostUpstream))
+	default:
+		w.respond(r, outcome.MayHaveRun(outcome.ReasonLateAnswer))
+	}
+	w.pump()
+}
+
+// respond sends the end of an attempt with the load to its ingress.
+func (w *worker) respond(r *request, e outcome.Ended) {
+	inUse, queued, threshold := w.inUse, w.queue.Len(), w.queue.Threshold(w.s.now())
+	w.s.after(w.s.d.oneWay(w.number, r.ingress), func() {
+		in := w.s.ingresses[r.ingress]
+		in.candidates[w.number].InUse, in.candidates[w.number].Queued = inUse, queued
+		in.thresholds[w.number] = threshold
+		w.s.ended(r, e)
+	})
+}
