admission: report the queue ahead of each rank for the choice of upstream

Cause: ingresses compared upstreams by whole queue length. An upstream that had its least urgent work refused looked idle and attracted the middle rank. Change: Queue.Ahead; Candidate.Queued is per rank.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -102,6 +102,18 @@
 // Len returns the number of queued tickets.
 func (q *Queue) Len() int { return len(q.entries) }
 
+// Ahead returns how long a new ticket of a level would wait, as the number of
+// its rank's tickets that the upstream would serve in that time. Ingresses
+// compare upstreams by it: the whole length says little about one rank, since
+// an urgent rank passes the others and a rank with a share doesn't wait for
+// the more urgent ones.
+func (q *Queue) Ahead(now time.Time, level int) int {
+	r := q.rank(level)
+	mean := r.estimate(0)
+	wait := q.wait(now, r, &entry{rank: r, cost: mean})
+	return int(float64(wait) * float64(q.options.Slots) / float64(mean))
+}
+
 // InService returns the number of tickets that Next returned and Done has not
 // seen.
 func (q *Queue) InService() int { return q.inService }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,10 +21,12 @@
 	FailureDomain string
 	Slots         int // requests it runs at once
 	InUse         int // slots in use, as last reported
-	Queued        int // requests that wait at its dispatcher, as last reported
-	Suspect       bool
-	Ejected       bool
-	Draining      bool
+	// Queued is how many requests wait at its dispatcher ahead of one of this
+	// rank, as last reported; see admission.Queue.Ahead.
+	Queued   int
+	Suspect  bool
+	Ejected  bool
+	Draining bool
 	// Trial marks an upstream that is tested after an ejection.
 	Trial bool
 	// Weight is the part of its slots that it should get, above 0 and up to 1,
--- a/internal/trials/sim.go
+++ b/internal/trials/sim.go
@@ -71,6 +71,7 @@
 type ingress struct {
 	candidates []balance.Candidate
 	thresholds []admission.Threshold
+	ahead      [][]int // by worker and level
 	budget     retry.Budget
 	bytes      *balance.ByteBudget
 }
@@ -117,6 +118,7 @@
 	in := &ingress{
 		candidates: make([]balance.Candidate, s.d.Workers),
 		thresholds: make([]admission.Threshold, s.d.Workers),
+		ahead:      make([][]int, s.d.Workers),
 		bytes:      balance.NewByteBudget(balance.DefaultByteOptions(s.d.Workers / 2)),
 	}
 	for w := range s.d.Workers {
@@ -125,6 +127,7 @@
 			Region: fmt.Sprint(s.d.region(w)), FailureDomain: fmt.Sprint(s.d.domain(w)),
 		}
 		in.thresholds[w] = admission.AdmitAll()
+		in.ahead[w] = make([]int, len(s.d.Kinds))
 	}
 	return in
 }
@@ -183,6 +186,9 @@
 		Level: r.kind, Idempotent: k.Idempotent, Tried: r.tried,
 		CrossAllowed: in.bytes.Enough(s.now(), r.kind, k.Bytes),
 	}
+	for w := range in.candidates {
+		in.candidates[w].Queued = in.ahead[w][r.kind]
+	}
 	w, ok := balance.Pick(s.choice, req, in.candidates)
 	if !ok {
 		s.ended(r, outcome.HasNotRun(outcome.ReasonNoUpstream))
--- a/internal/trials/worker.go
+++ b/internal/trials/worker.go
@@ -122,10 +122,15 @@
 
 // respond sends the end of an attempt with the load to its ingress.
 func (w *worker) respond(r *request, e outcome.Ended) {
-	inUse, queued, threshold := w.inUse, w.queue.Len(), w.queue.Threshold(w.s.now())
+	inUse, threshold := w.inUse, w.queue.Threshold(w.s.now())
+	ahead := make([]int, len(w.s.d.Kinds))
+	for level := range ahead {
+		ahead[level] = w.queue.Ahead(w.s.now(), level)
+	}
 	w.s.after(w.s.d.oneWay(w.number, r.ingress), func() {
 		in := w.s.ingresses[r.ingress]
-		in.candidates[w.number].InUse, in.candidates[w.number].Queued = inUse, queued
+		in.candidates[w.number].InUse = inUse
+		in.ahead[w.number] = ahead
 		in.thresholds[w.number] = threshold
 		w.s.ended(r, e)
 	})
