--- /dev/null
+++ b/consensus/core_test.go
@@ -0,0 +1,227 @@
+package consensus
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func newTestSim(t testing.TB, cfg Config, voters int) *sim {
+	return newSim(cfg, voters, func(f string, a ...any) { t.Fatalf(f, a...) })
+}
+
+// newLedSim returns a cluster with a leader that has committed an entry.
+func newLedSim(t testing.TB, cfg Config, voters int) (*sim, *simNode) {
+	s := newTestSim(t, cfg, voters)
+	assert.Assert(t, s.runUntil(100, func() bool {
+		l := s.leader()
+		return l != nil && l.core.ownTermCommitted()
+	}) >= 0, "no leader")
+	return s, s.leader()
+}
+
+func others(s *sim, n *simNode) []*simNode {
+	var out []*simNode
+	for _, o := range s.up() {
+		if o != n {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// Guards against an isolated leader that serves stale reads, or acknowledges
+// writes, after the others have elected another one.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	s, l := newLedSim(t, Config{Seed: 1}, 5)
+	s.isolate(l.id, true, true)
+	served, acknowledged := false, false
+	seq, err := l.core.Read()
+	assert.NilError(t, err)
+	l.reads[seq] = func() { served = true }
+	assert.NilError(t, s.propose(l, kvCommand{Seq: 1}, func([]byte) { acknowledged = true }))
+	ticks := s.runUntil(100, func() bool { return l.role != Leader })
+	assert.Assert(t, ticks >= 0 && ticks <= DefaultElectionTicks, "stepped down after %d ticks", ticks)
+	s.run(50)
+	assert.Assert(t, !served && !acknowledged)
+	_, err = l.core.Read()
+	assert.ErrorIs(t, err, ErrNotLeader)
+	assert.Assert(t, s.leader() != nil && s.leader() != l)
+}
+
+// Guards against reads that a leader confirms without a majority while it does
+// not know yet that it is deposed: its own clock stands still.
+func TestReadNeedsMajority(t *testing.T) {
+	s, l := newLedSim(t, Config{Seed: 1}, 3)
+	s.isolate(l.id, true, true)
+	seq, err := l.core.Read()
+	assert.NilError(t, err)
+	l.reads[seq] = func() { t.Error("read was served by a deposed leader") }
+	s.work(l, noCrash)
+	for range 50 {
+		for _, n := range others(s, l) {
+			n.core.Tick()
+			s.work(n, noCrash)
+		}
+		s.deliverAll()
+	}
+	assert.Assert(t, s.leader() != l)
+	assert.Equal(t, l.role, Leader)
+}
+
+// Guards against a voter that raises the term of the majority when it returns
+// from isolation, also if only one direction was cut.
+func TestReturningVoterDoesNotRaiseTerm(t *testing.T) {
+	for _, cut := range []struct{ in, out bool }{{true, true}, {true, false}, {false, true}} {
+		s, l := newLedSim(t, Config{Seed: 3}, 3)
+		term := l.term
+		voter := others(s, l)[0]
+		s.isolate(voter.id, cut.in, cut.out)
+		s.run(200)
+		clear(s.cuts)
+		s.run(50)
+		assert.Equal(t, s.leader(), l)
+		assert.Equal(t, s.maxTerm, term, "cut %+v", cut)
+		assert.Equal(t, voter.core.LeaderID(), l.id)
+	}
+}
+
+// Guards against a voter that grants its vote to a candidate while a leader is
+// being heard.
+func TestVotesAreIgnoredUnderALeader(t *testing.T) {
+	s, l := newLedSim(t, Config{Seed: 1}, 3)
+	voter := others(s, l)[0]
+	for _, mt := range []MessageType{MsgPreVote, MsgVote} {
+		for _, n := range []*simNode{l, voter} {
+			n.core.Step(Message{Type: mt, From: others(s, n)[0].id, To: n.id, Term: 99, Index: 999, LogTerm: 98})
+			rd := n.core.Ready()
+			assert.Equal(t, len(rd.Messages), 0)
+			n.core.Advance()
+			assert.Equal(t, n.core.hard.Term, l.term)
+		}
+	}
+}
+
+// Guards against a replica that lost its disk voting twice in a term: once
+// before the loss and once after.
+func TestBlankDiskDoesNotVote(t *testing.T) {
+	const oldID, newID = 3, 77
+	c, err := New(Config{ID: newID, Seed: 1}, Stored{ID: newID})
+	assert.NilError(t, err)
+	ask := func(to ReplicaID) []Message {
+		c.Step(Message{Type: MsgVote, From: 1, To: to, Term: 5, Index: 9, LogTerm: 4})
+		rd := c.Ready()
+		c.Advance()
+		return rd.Messages
+	}
+	assert.Equal(t, len(ask(oldID)), 0)
+	replies := ask(newID)
+	assert.Equal(t, len(replies), 1)
+	assert.Assert(t, replies[0].Reject)
+	for range 100 {
+		c.Tick()
+	}
+	rd := c.Ready()
+	assert.Equal(t, len(rd.Messages), 0, "a replica without a membership campaigns")
+}
+
+// electedCore returns a leader of term 3 among voters 1, 2 and 3, whose log
+// holds an uncommitted entry of term 2 at index 2 and its own at index 3.
+func electedCore(t *testing.T) *Core {
+	founders := Membership{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}
+	st := Founding(1, founders, nil)
+	st.Hard.Term = 2
+	st.Entries = []Entry{{Index: 2, Term: 2}}
+	c, err := New(Config{ID: 1, Seed: 1}, st)
+	assert.NilError(t, err)
+	for c.role != PreCandidate {
+		c.Tick()
+	}
+	c.Step(Message{Type: MsgPreVoteReply, From: 2, To: 1, Term: 3})
+	c.Step(Message{Type: MsgVoteReply, From: 2, To: 1, Term: 3})
+	assert.Equal(t, c.role, Leader)
+	c.Ready()
+	c.Advance()
+	return c
+}
+
+// Guards against committing an entry of an earlier term by counting replicas;
+// a later leader could still replace it.
+func TestEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	c := electedCore(t)
+	c.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: 3, Index: 2})
+	assert.Equal(t, c.log.commit, uint64(1))
+	c.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: 3, Index: 3})
+	assert.Equal(t, c.log.commit, uint64(3))
+}
+
+// Guards against membership changes by a leader that does not know yet what is
+// committed, and against two changes at once. Either could let two majorities
+// that do not overlap decide.
+func TestMembershipChangesOneAtATimeAfterOwnEntry(t *testing.T) {
+	c := electedCore(t)
+	_, err := c.ProposeChange(MemberChange{Kind: AddLearner, ID: 9})
+	assert.ErrorIs(t, err, ErrNoTermEntry)
+	c.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: 3, Index: 3})
+	_, err = c.ProposeChange(MemberChange{Kind: AddLearner, ID: 9})
+	assert.NilError(t, err)
+	_, err = c.ProposeChange(MemberChange{Kind: Remove, ID: 3})
+	assert.ErrorIs(t, err, ErrChangePending)
+}
+
+// Guards against a leader that counts its own log before it is stored.
+func TestLeaderCountsOnlyWhatItStored(t *testing.T) {
+	c := electedCore(t)
+	c.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: 3, Index: 3})
+	index, err := c.Propose([]byte("x"))
+	assert.NilError(t, err)
+	c.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: 3, Index: index})
+	assert.Equal(t, c.log.commit, uint64(3))
+	c.Ready()
+	c.Advance()
+	assert.Equal(t, c.log.commit, index)
+}
+
+// Guards against a follower that commits entries of its own that the leader has
+// not compared.
+func TestFollowerCommitsOnlyComparedEntries(t *testing.T) {
+	founders := Membership{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}
+	st := Founding(2, founders, nil)
+	st.Entries = []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}}
+	c, err := New(Config{ID: 2, Seed: 1}, st)
+	assert.NilError(t, err)
+	c.Step(Message{Type: MsgAppend, From: 1, To: 2, Term: 3, Index: 1, LogTerm: 1, Commit: 3})
+	assert.Equal(t, c.log.commit, uint64(1))
+}
+
+// Guards against a removed leader that goes on, and against a group that can
+// no longer elect because the only complete log belongs to a replica whose
+// removal is not committed.
+func TestLeaderRemovesItself(t *testing.T) {
+	s, l := newLedSim(t, Config{Seed: 2}, 3)
+	assert.NilError(t, s.change(l, MemberChange{Kind: Remove, ID: l.id}))
+	assert.Assert(t, s.runUntil(100, func() bool { return s.leader() != nil && s.leader() != l }) >= 0)
+	assert.Equal(t, s.leader().core.Membership().Voters(), 2)
+	assert.Assert(t, !s.leader().core.Membership().Voter(l.id))
+}
+
+// Guards against learners that are promoted before they hold the log, or whose
+// vote counts before.
+func TestLearnerIsPromotedWhenCaughtUp(t *testing.T) {
+	s, l := newLedSim(t, Config{Seed: 2}, 1)
+	for i := range 500 {
+		assert.NilError(t, s.propose(l, kvCommand{Seq: i + 1}, nil))
+	}
+	s.compact(l)
+	learner := s.addBlank()
+	assert.NilError(t, s.change(l, MemberChange{Kind: AddLearner, ID: learner.id}))
+	assert.ErrorIs(t, s.change(l, MemberChange{Kind: Promote, ID: learner.id}), ErrNotCaughtUp)
+	assert.NilError(t, s.propose(l, kvCommand{Seq: 999}, nil))
+	assert.Equal(t, l.applied, l.core.log.last(), "a learner delays commitment")
+	s.run(5)
+	assert.NilError(t, s.change(l, MemberChange{Kind: Promote, ID: learner.id}))
+	s.run(5)
+	assert.Equal(t, learner.core.Membership().Voters(), 2)
+	assert.DeepEqual(t, learner.machine, l.machine)
+	assert.ErrorIs(t, s.change(l, MemberChange{Kind: Promote, ID: learner.id}), ErrNoChange)
+}
