--- /dev/null
+++ b/consensus/disk/disk.go
@@ -0,0 +1,301 @@
+// Package disk keeps the state of one replica in a bbolt file under a data
+// folder. Each batch is one transaction, synced before Save returns.
+package disk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+
+	"github.com/godwithub/godwithub/consensus"
+)
+
+const (
+	// FileName is the name of the file in the data folder.
+	FileName = "consensus.db"
+	// format is the version of the file's layout.
+	format = 1
+	// lockTimeout bounds the wait for a process that is just ending.
+	lockTimeout = 500 * time.Millisecond
+
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// Errors of Open.
+var (
+	ErrInUse   = errors.New("disk: the data folder is in use by another process")
+	ErrDamaged = errors.New("disk: the consensus file is damaged")
+)
+
+var (
+	metaBucket = []byte("meta")
+	logBucket  = []byte("log")
+
+	formatKey   = []byte("format")
+	idKey       = []byte("id")
+	hardKey     = []byte("hard")
+	snapshotKey = []byte("snapshot")
+)
+
+// Store implements consensus.Store.
+type Store struct {
+	db *bbolt.DB
+	id consensus.ReplicaID
+}
+
+// Open opens the store in folder and checks the whole file. A folder without a
+// store gets one with a new random replica id. Open returns ErrInUse if another
+// process, or this one, has the folder open, and ErrDamaged if the file does
+// not hold what was written to it.
+func Open(folder string) (*Store, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, fmt.Errorf("disk: %w", err)
+	}
+	path := filepath.Join(folder, FileName)
+	db, err := openFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{db: db}
+	err = checkMeta(path)
+	if err == nil {
+		err = s.prepare(folder)
+	}
+	if err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%w (%s)", err, path)
+	}
+	return s, nil
+}
+
+func openFile(path string) (db *bbolt.DB, err error) {
+	// The missing pages of a file that was cut short fault when they are read.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer recoverDamage(&err)
+	// The free list is stored, because without it bbolt walks the file in a
+	// goroutine of its own, where a damaged page ends the process.
+	db, err = bbolt.Open(path, fileMode, &bbolt.Options{
+		Timeout:      lockTimeout,
+		FreelistType: bbolt.FreelistMapType,
+	})
+	switch {
+	case errors.Is(err, bolterrors.ErrTimeout):
+		return nil, fmt.Errorf("%w: %s", ErrInUse, path)
+	case isSystemError(err):
+		return nil, fmt.Errorf("disk: open %s: %w", path, err)
+	case err != nil:
+		return nil, fmt.Errorf("%w: %s: %w", ErrDamaged, path, err)
+	}
+	return db, nil
+}
+
+// isSystemError tells errors of the operating system from those that bbolt
+// reports about the file's contents.
+func isSystemError(err error) bool {
+	var path *fs.PathError
+	var number syscall.Errno
+	return errors.As(err, &path) || errors.As(err, &number)
+}
+
+// recoverDamage turns the panics with which bbolt meets damaged pages into an
+// error.
+func recoverDamage(err *error) {
+	if p := recover(); p != nil {
+		*err = fmt.Errorf("%w: %v", ErrDamaged, p)
+	}
+}
+
+func (s *Store) prepare(folder string) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer recoverDamage(&err)
+	blank := false
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		if err := checkStructure(tx); err != nil {
+			return err
+		}
+		meta := tx.Bucket(metaBucket)
+		blank = meta == nil
+		if blank {
+			return nil
+		}
+		return s.readIdentity(meta)
+	})
+	if err != nil || !blank {
+		return err
+	}
+	if err := s.db.Update(s.create); err != nil {
+		return fmt.Errorf("disk: %w", err)
+	}
+	return syncFolder(folder)
+}
+
+// checkStructure walks the file. The first walk finds pages that cannot be
+// read, which would panic in the goroutine of the second one.
+func checkStructure(tx *bbolt.Tx) error {
+	err := tx.ForEach(func(_ []byte, b *bbolt.Bucket) error {
+		return b.ForEach(func(_, _ []byte) error { return nil })
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	var first error
+	for err := range tx.Check() {
+		if first == nil {
+			first = fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+	}
+	return first
+}
+
+func (s *Store) readIdentity(meta *bbolt.Bucket) error {
+	var version uint64
+	if err := getRecord(meta, formatKey, &version); err != nil {
+		return err
+	}
+	if version != format {
+		return fmt.Errorf("disk: the file has format %d, this program reads %d", version, format)
+	}
+	return getRecord(meta, idKey, &s.id)
+}
+
+func (s *Store) create(tx *bbolt.Tx) error {
+	var b [8]byte
+	for s.id == 0 {
+		rand.Read(b[:])
+		s.id = consensus.ReplicaID(binary.BigEndian.Uint64(b[:]))
+	}
+	meta, err := tx.CreateBucket(metaBucket)
+	if err != nil {
+		return err
+	}
+	if _, err := tx.CreateBucket(logBucket); err != nil {
+		return err
+	}
+	if err := putRecord(meta, formatKey, uint64(format)); err != nil {
+		return err
+	}
+	return putRecord(meta, idKey, s.id)
+}
+
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("disk: %w", err)
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("disk: sync %s: %w", folder, err)
+	}
+	return nil
+}
+
+// ID returns the replica id of this folder.
+func (s *Store) ID() consensus.ReplicaID { return s.id }
+
+// Load implements consensus.Store. Every record is checked.
+func (s *Store) Load() (stored consensus.Stored, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer recoverDamage(&err)
+	stored.ID = s.id
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		if err := getOptional(meta, hardKey, &stored.Hard); err != nil {
+			return err
+		}
+		if err := getOptional(meta, snapshotKey, &stored.Snapshot); err != nil {
+			return err
+		}
+		return tx.Bucket(logBucket).ForEach(func(k, v []byte) error {
+			var e consensus.Entry
+			if err := decodeRecord(k, v, &e); err != nil {
+				return err
+			}
+			if n := len(stored.Entries); n > 0 && e.Index != stored.Entries[n-1].Index+1 {
+				return fmt.Errorf("%w: entry %d follows entry %d", ErrDamaged, e.Index, stored.Entries[n-1].Index)
+			}
+			stored.Entries = append(stored.Entries, e)
+			return nil
+		})
+	})
+	return stored, err
+}
+
+// Save implements consensus.Store.
+func (s *Store) Save(b consensus.Batch) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
+		if b.Hard != nil {
+			if err := putRecord(meta, hardKey, *b.Hard); err != nil {
+				return err
+			}
+		}
+		if b.Snapshot != nil {
+			if err := putRecord(meta, snapshotKey, *b.Snapshot); err != nil {
+				return err
+			}
+		}
+		return saveEntries(log, b)
+	})
+	if err != nil {
+		return fmt.Errorf("disk: save: %w", err)
+	}
+	return nil
+}
+
+func saveEntries(log *bbolt.Bucket, b consensus.Batch) error {
+	if b.Reset {
+		if err := deleteRange(log, 0, 0); err != nil {
+			return err
+		}
+	}
+	if len(b.Entries) > 0 {
+		if err := deleteRange(log, b.Entries[0].Index, 0); err != nil {
+			return err
+		}
+	}
+	for _, e := range b.Entries {
+		if err := putRecord(log, indexKey(e.Index), e); err != nil {
+			return err
+		}
+	}
+	if b.DropBelow > 0 {
+		return deleteRange(log, 0, b.DropBelow)
+	}
+	return nil
+}
+
+// deleteRange deletes the entries from index from up to, but without, index to.
+// 0 for to means the end.
+func deleteRange(log *bbolt.Bucket, from, to uint64) error {
+	var indexes []uint64
+	c := log.Cursor()
+	for k, _ := c.Seek(indexKey(from)); k != nil; k, _ = c.Next() {
+		index := binary.BigEndian.Uint64(k)
+		if to != 0 && index >= to {
+			break
+		}
+		indexes = append(indexes, index)
+	}
+	for _, index := range indexes {
+		if err := log.Delete(indexKey(index)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func indexKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// Close implements consensus.Store.
+func (s *Store) Close() error { return s.db.Close() }
--- /dev/null
+++ b/consensus/disk/record.go
@@ -0,0 +1,60 @@
+package disk
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/bbolt"
+)
+
+// checksumSize is the size of the checksum before each record, in bytes. bbolt
+// checks its meta pages only.
+const checksumSize = 4
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// checksum covers the key, so that a record under another record's key is
+// recognised.
+func checksum(key, body []byte) uint32 {
+	return crc32.Update(crc32.Checksum(key, table), table, body)
+}
+
+func putRecord(b *bbolt.Bucket, key []byte, value any) error {
+	body, err := cbor.Marshal(value)
+	if err != nil {
+		return err
+	}
+	record := binary.BigEndian.AppendUint32(make([]byte, 0, checksumSize+len(body)), checksum(key, body))
+	return b.Put(key, append(record, body...))
+}
+
+func getRecord(b *bbolt.Bucket, key []byte, value any) error {
+	record := b.Get(key)
+	if record == nil {
+		return fmt.Errorf("%w: no record %q", ErrDamaged, key)
+	}
+	return decodeRecord(key, record, value)
+}
+
+func getOptional(b *bbolt.Bucket, key []byte, value any) error {
+	if b.Get(key) == nil {
+		return nil
+	}
+	return getRecord(b, key, value)
+}
+
+func decodeRecord(key, record []byte, value any) error {
+	if len(record) < checksumSize {
+		return fmt.Errorf("%w: record %q is %d bytes long", ErrDamaged, key, len(record))
+	}
+	body := record[checksumSize:]
+	if binary.BigEndian.Uint32(record) != checksum(key, body) {
+		return fmt.Errorf("%w: record %q does not match its checksum", ErrDamaged, key)
+	}
+	if err := cbor.Unmarshal(body, value); err != nil {
+		return fmt.Errorf("%w: record %q: %w", ErrDamaged, key, err)
+	}
+	return nil
+}
