Run consensus replicas over links

Cause: the core needs a runner that stores, sends and applies, and a transport that many groups share. The only voter of a group campaigns at its first tick, since there is no leader to wait for. The bytes that a group sends over links are not measured.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -126,6 +126,10 @@
 		storedHard: s.Hard,
 	}
 	c.becomeFollower(s.Hard.Term, 0)
+	if ms := c.Membership(); ms.Voters() == 1 && ms.Voter(cfg.ID) {
+		// There is no leader to wait for.
+		c.timeout = 1
+	}
 	return c, nil
 }
 
--- /dev/null
+++ b/consensus/replica/linktransport_test.go
@@ -0,0 +1,194 @@
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/volatile"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Guards against messages that are larger than a frame, and are put together
+// wrongly when they are sent in turns.
+func TestLargeMessagesArePutTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 4*link.MaxPayload), 1, 5).Draw(t, "sizes")
+		var open []*outgoing
+		for i, size := range sizes {
+			body := make([]byte, size)
+			rand.Read(body)
+			m := consensus.Message{Group: fmt.Sprint(i), Snapshot: &consensus.Snapshot{Data: body}}
+			b, err := wire.Encode(m)
+			assert.NilError(t, err)
+			open = append(open, &outgoing{number: uint64(i), body: b})
+		}
+		in := assembler{}
+		got := map[string]int{}
+		for len(open) > 0 {
+			i := rapid.IntRange(0, len(open)-1).Draw(t, "next")
+			part := open[i].part(nil)
+			assert.Assert(t, len(part) <= link.MaxPayload)
+			messages, _, err := in.add(part)
+			assert.NilError(t, err)
+			for _, m := range messages {
+				got[m.Group] = len(m.Snapshot.Data)
+			}
+			if open[i].done() {
+				open = append(open[:i], open[i+1:]...)
+			}
+		}
+		for i, size := range sizes {
+			assert.Equal(t, got[fmt.Sprint(i)], size)
+		}
+	})
+}
+
+// Guards against frames that make a process fail or hold unbounded memory.
+func TestMalformedFramesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := assembler{}
+		for range 100 {
+			if _, _, err := in.add(rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "frame")); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// silentStream takes frames and never answers, like a connection whose other
+// side is gone without a trace.
+type silentStream struct{ reset chan struct{} }
+
+func (s *silentStream) ReadFrame() (link.Frame, error) {
+	<-s.reset
+	return link.Frame{}, link.ErrReset
+}
+func (s *silentStream) WriteFrame(link.FrameType, []byte) error { return nil }
+func (s *silentStream) SetReadDeadline(time.Time) error         { return nil }
+func (s *silentStream) Close() error                            { return nil }
+func (s *silentStream) PeerName() string                        { return "" }
+func (s *silentStream) Reset() {
+	select {
+	case <-s.reset:
+	default:
+		close(s.reset)
+	}
+}
+
+type silentDialer struct{ opened, replaced int }
+
+func (d *silentDialer) Open(context.Context, string) (link.Stream, error) {
+	d.opened++
+	return &silentStream{make(chan struct{})}, nil
+}
+func (d *silentDialer) Replace(string) { d.replaced++ }
+func (d *silentDialer) Close() error   { return nil }
+
+// Guards against messages that are written for ever to a connection that has
+// gone silent.
+func TestSilentStreamIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &silentDialer{}
+		tr := NewLinkTransport(d, nil, logging.Discard())
+		for range 60 {
+			tr.Send(consensus.Message{Type: consensus.MsgHeartbeat, ToAddr: "peer"})
+			time.Sleep(100 * time.Millisecond)
+		}
+		tr.Close()
+		synctest.Wait()
+		assert.Assert(t, d.replaced >= 1 && d.opened >= 2, "opened %d, replaced %d", d.opened, d.replaced)
+	})
+}
+
+// linkNode is one process with a link transport on loopback.
+type linkNode struct {
+	addr      string
+	transport *LinkTransport
+	dialer    link.Dialer
+	stop      func()
+}
+
+func startLinkNode(t *testing.T, ring *keys.Ring) *linkNode {
+	l, err := tlslink.Listen("127.0.0.1:0", ring.Server())
+	assert.NilError(t, err)
+	d := tlslink.NewDialer("", ring.Client(keys.RoleControl))
+	n := &linkNode{addr: l.Addr(), dialer: d, transport: NewLinkTransport(d, nil, logging.Discard())}
+	mux := link.NewMux(logging.Discard())
+	mux.Handle(wire.FrameConsensus, n.transport.Handle)
+	ctx, cancel := context.WithCancel(context.Background())
+	go mux.Serve(ctx, l)
+	n.stop = func() {
+		cancel()
+		n.transport.Close()
+		l.Close()
+		mux.Wait()
+		d.Close()
+	}
+	return n
+}
+
+func (n *linkNode) start(t *testing.T, id consensus.ReplicaID, founders consensus.Membership) *Replica {
+	r, err := Start(Config{
+		Group: "g", Core: consensus.Config{Seed: uint64(id)}, Addr: n.addr, Founders: founders, Store: volatile.New(id),
+		Machine: &journal{}, Transport: n.transport, TickInterval: 20 * time.Millisecond,
+	})
+	assert.NilError(t, err)
+	n.transport.Register("g", r)
+	return r
+}
+
+// Guards against a group that works in memory but not over links: growth from
+// one founder, commands larger than a frame, and the loss of the leader.
+func TestGroupOverLinks(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, keys.Init(dir))
+	assert.NilError(t, keys.Issue(dir, dir, "node", keys.RoleControl, time.Hour))
+	ring, err := keys.Load(dir)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+
+	var nodes []*linkNode
+	var replicas []*Replica
+	for i := range 3 {
+		id := consensus.ReplicaID(i + 1)
+		n := startLinkNode(t, ring)
+		nodes = append(nodes, n)
+		if i == 0 {
+			replicas = append(replicas, n.start(t, id, consensus.Membership{{ID: id, Addr: n.addr, Voter: true}}))
+			leaderOf(t, replicas)
+			continue
+		}
+		replicas = append(replicas, n.start(t, id, nil))
+		assert.NilError(t, replicas[0].Change(ctx, consensus.MemberChange{Kind: consensus.AddLearner, ID: id, Addr: n.addr}))
+		assert.NilError(t, replicas[0].Change(ctx, consensus.MemberChange{Kind: consensus.Promote, ID: id}))
+	}
+	_, err = replicas[0].Propose(ctx, make([]byte, 5*link.MaxPayload))
+	assert.NilError(t, err)
+	assert.NilError(t, replicas[0].Stop())
+	nodes[0].stop()
+	rest := replicas[1:]
+	waitFor(t, "a commit by another leader", func() bool {
+		_, err := leaderOf(t, rest).Propose(ctx, []byte("x"))
+		var unknown *UnknownError
+		assert.Assert(t, err == nil || errors.As(err, &unknown) || errors.Is(err, consensus.ErrNotLeader), "%v", err)
+		return err == nil
+	})
+	for i, n := range nodes[1:] {
+		assert.NilError(t, rest[i].Stop())
+		n.stop()
+	}
+}
