--- a/consensus/core.go
+++ b/consensus/core.go
@@ -270,6 +270,9 @@
 	MembershipCommitted bool
 	// Match holds the last index known to be stored by each peer. Leader only.
 	Match map[ReplicaID]uint64
+	// Heard holds the peers that have replied within an election timeout.
+	// Leader only.
+	Heard map[ReplicaID]bool
 }
 
 // Status returns the present state.
@@ -282,8 +285,10 @@
 	}
 	if c.role == Leader {
 		s.Match = make(map[ReplicaID]uint64, len(c.peers))
+		s.Heard = make(map[ReplicaID]bool, len(c.peers))
 		for id, p := range c.peers {
 			s.Match[id] = p.Match
+			s.Heard[id] = c.hears(p)
 		}
 	}
 	return s
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -51,7 +51,7 @@
 		p := c.peers[m.ID]
 		switch {
 		case !m.Voter:
-		case m.ID == c.cfg.ID, p != nil && c.now-p.Heard < uint64(c.cfg.ElectionTicks):
+		case m.ID == c.cfg.ID, p != nil && c.hears(p):
 			heard++
 		}
 	}
@@ -220,7 +220,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if change.Kind == Promote && !c.caughtUp(change.ID) {
+	if change.Kind == Promote && !c.mayPromote(change) {
 		return 0, ErrNotCaughtUp
 	}
 	// Such a change would be in force at once and could never be committed.
@@ -232,14 +232,19 @@
 	return c.log.last(), nil
 }
 
-// caughtUp reports whether a learner lags so little that a vote for it does not
-// delay commitment.
-func (c *Core) caughtUp(id ReplicaID) bool {
-	p := c.peers[id]
-	if p == nil || p.Match == 0 || c.now-p.Heard >= uint64(c.cfg.ElectionTicks) {
+// mayPromote reports whether a learner accepts entries and, unless the change
+// is early, lags so little that a vote for it does not delay commitment.
+func (c *Core) mayPromote(change MemberChange) bool {
+	p := c.peers[change.ID]
+	if p == nil || p.Match == 0 || !c.hears(p) {
 		return false
 	}
-	return p.State == tracker.Replicate && c.log.last()-p.Match <= c.cfg.PromoteLag
+	return change.Early || p.State == tracker.Replicate && c.log.last()-p.Match <= c.cfg.PromoteLag
+}
+
+// hears reports whether the peer has replied within an election timeout.
+func (c *Core) hears(p *tracker.Progress) bool {
+	return c.now-p.Heard < uint64(c.cfg.ElectionTicks)
 }
 
 func (c *Core) appendEntry(e Entry) {
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -30,14 +30,20 @@
 		s.Entries = nil
 	}
 	if len(b.Entries) > 0 {
-		first := b.Entries[0].Index
-		s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e Entry) bool { return e.Index >= first })
-		s.Entries = append(s.Entries, b.Entries...)
+		s.Entries = append(s.Entries[:s.position(b.Entries[0].Index)], b.Entries...)
 	}
-	s.Entries = slices.DeleteFunc(slices.Clone(s.Entries), func(e Entry) bool { return e.Index < b.DropBelow })
+	s.Entries = s.Entries[s.position(b.DropBelow):]
 	return nil
 }
 
+// position returns where the entry with the given index is or belongs.
+func (s *memStore) position(index uint64) int {
+	if len(s.Entries) == 0 || index < s.Entries[0].Index {
+		return 0
+	}
+	return min(len(s.Entries), int(index-s.Entries[0].Index))
+}
+
 // kvCommand sets Key to Value and returns the value before it. A command
 // that is sent again has the same client and sequence.
 type kvCommand struct {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -225,6 +225,10 @@
 	Kind ChangeKind
 	ID   ReplicaID
 	Addr string // for AddLearner and SetAddr
+	// Early promotes a learner that has accepted an append, before it has
+	// caught up. While it catches up, a further loss delays commitment; without
+	// it, a further loss can end the group. See TestSecondLossDuringReplacement.
+	Early bool
 }
 
 // Errors of proposals and membership changes.
