--- a/consensus/replica/linktransport_test.go
+++ b/consensus/replica/linktransport_test.go
@@ -76,10 +76,11 @@
 	<-s.reset
 	return link.Frame{}, link.ErrReset
 }
-func (s *silentStream) WriteFrame(link.FrameType, []byte) error { return nil }
-func (s *silentStream) SetReadDeadline(time.Time) error         { return nil }
-func (s *silentStream) Close() error                            { return nil }
-func (s *silentStream) PeerName() string                        { return "" }
+func (s *silentStream) WriteFrame(link.FrameType, []byte) error  { return nil }
+func (s *silentStream) BufferFrame(link.FrameType, []byte) error { return nil }
+func (s *silentStream) SetReadDeadline(time.Time) error          { return nil }
+func (s *silentStream) Close() error                             { return nil }
+func (s *silentStream) PeerName() string                         { return "" }
 func (s *silentStream) Reset() {
 	select {
 	case <-s.reset:
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -18,6 +18,10 @@
 	// Refusal is how long a fingerprint seen at crashes of two upstreams is
 	// refused. A later crash starts it again.
 	Refusal = 10 * time.Minute
+	// Clearance is how long a request that was answered is not blamed for a
+	// crash. Requests that many callers send alike, such as a GET without a
+	// query, are in flight at most crashes by chance.
+	Clearance = time.Minute
 	// maxFingerprints bounds the memory. An upstream has a few slots, so this
 	// holds hundreds of crashes.
 	maxFingerprints = 4096
@@ -35,6 +39,9 @@
 type Tracker struct {
 	entries map[Fingerprint]*list.Element
 	order   *list.List // of *entry, the one that expires first in front
+
+	// cleared holds until when fingerprints are not blamed.
+	cleared map[Fingerprint]time.Time
 }
 
 type entry struct {
@@ -46,7 +53,7 @@
 
 // New returns an empty tracker.
 func New() *Tracker {
-	return &Tracker{entries: map[Fingerprint]*list.Element{}, order: list.New()}
+	return &Tracker{entries: map[Fingerprint]*list.Element{}, order: list.New(), cleared: map[Fingerprint]time.Time{}}
 }
 
 // Report takes in a crash and returns the fingerprints that are refused because
@@ -55,6 +62,9 @@
 func (t *Tracker) Report(now time.Time, c Crash) (refused []Fingerprint) {
 	t.expire(now)
 	for _, f := range c.InFlight {
+		if now.Before(t.cleared[f]) {
+			continue
+		}
 		element, found := t.entries[f]
 		if !found {
 			t.insert(&entry{fingerprint: f, upstream: c.Upstream, expires: now.Add(Memory)})
@@ -85,10 +95,27 @@
 // Completed takes in that a request with the fingerprint was answered. It
 // clears a request that was in flight at crashes by chance, as a frequent one
 // is likely to be.
-func (t *Tracker) Completed(f Fingerprint) {
+func (t *Tracker) Completed(now time.Time, f Fingerprint) {
 	if element, found := t.entries[f]; found {
 		t.remove(element)
 	}
+	if len(t.cleared) >= maxFingerprints {
+		t.dropCleared(now)
+	}
+	t.cleared[f] = now.Add(Clearance)
+}
+
+// dropCleared makes room: it drops what is over, and everything if that is not
+// enough. Frequent requests are back at once.
+func (t *Tracker) dropCleared(now time.Time) {
+	for f, until := range t.cleared {
+		if !now.Before(until) {
+			delete(t.cleared, f)
+		}
+	}
+	if len(t.cleared) >= maxFingerprints/2 {
+		clear(t.cleared)
+	}
 }
 
 // Explains reports whether one of the fingerprints is known to crash
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -284,6 +284,18 @@
 	}
 }
 
+// liveLinkAddrs returns the link addresses of all live nodes, the own included.
+func (c *core) liveLinkAddrs() map[string]bool {
+	c.views()
+	addrs := map[string]bool{c.self.meta.LinkAddr: true}
+	for _, list := range [...][]*member{c.local, c.remote} {
+		for _, m := range list {
+			addrs[m.meta.LinkAddr] = true
+		}
+	}
+	return addrs
+}
+
 // size returns the number of live nodes, with the own.
 func (c *core) size() int {
 	c.views()
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -34,8 +34,10 @@
 	kind    *resource.RequestKind
 	level   int
 	caller  string
-	// callerHash spreads callers for admission thresholds.
-	callerHash  uint64
+	// shedHash spreads requests for admission thresholds. It is that of the
+	// request, not of its caller: a threshold is meant to let part of the work
+	// through, and a lone caller would be refused whole.
+	shedHash    uint64
 	key         string
 	deadline    time.Time
 	body        []byte
@@ -63,6 +65,7 @@
 // request id is set even if it returns a refusal.
 func parse(v *board.View, r *http.Request, now time.Time) (*request, error) {
 	rq := &request{id: newRequestID(), began: now, http: r}
+	rq.shedHash = xxhash.Sum64String(rq.id)
 	switch {
 	case v.Leaving:
 		return rq, refuse(outcome.ReasonDraining, "the node is leaving")
@@ -103,7 +106,6 @@
 	} else if !resource.ValidName(rq.caller) {
 		return refuse(outcome.ReasonBadRequest, "%s: not 1 to 63 lower-case letters, digits and inner dashes", HeaderCaller)
 	}
-	rq.callerHash = xxhash.Sum64String(rq.caller)
 	if keys := h.Values(HeaderKey); len(keys) > 1 {
 		return refuse(outcome.ReasonBadRequest, "%s: given %d times", HeaderKey, len(keys))
 	}
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -84,7 +84,7 @@
 // refuses reports whether the upstream's queue would refuse the request.
 func (t *loadTable) refuses(id fleet.UpstreamID, rq *request, now time.Time) bool {
 	l := t.get(id, now)
-	return l.threshold.Refuses(rq.level, rq.callerHash)
+	return l.threshold.Refuses(rq.level, rq.shedHash)
 }
 
 // begin counts an attempt on its way.
--- a/node/crash.go
+++ b/node/crash.go
@@ -37,7 +37,7 @@
 func (c *crashes) Completed(fingerprint uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tracker.Completed(crash.Fingerprint(fingerprint))
+	c.tracker.Completed(time.Now(), crash.Fingerprint(fingerprint))
 }
 
 // Crashed implements dispatch.Crashes.
