Replicate the configuration by consensus and change members

Change: controld.Replicate runs the control group on consensus/replica with consensus/disk, over wire.FrameConsensus. Settings -founders and -join replace -peers. Founders learn each other's random disk ids before they begin; a blank disk that finds the group in existence waits to be added under its new identity. Node ids and addresses are kept as the addresses of the replicas, so they cannot differ from the membership. A proposal of unknown fate stays unknown, also when its cause is a lost leadership; only errors that exclude the change are definite. Group is a server.MemberChanger: add, remove and replace, one at a time. PUT /v1/members/ID takes replaces. Watches end when their member stops leading, and their heartbeats are confirmed by a majority. Commands are bounded to 64 MiB, since one over 256 MiB could never be sent.

Conclusion: three members found a group, survive the loss of a disk and of a second member after its replacement (TestLostDiskIsReplaced).

--- a/cli/admin.go
+++ b/cli/admin.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -96,16 +98,11 @@
 	f := &memberFlags{}
 	group := a.group("members", "Lists and changes the members of the control group.")
 	a.add(group, "list", "Lists the members.", a.listMembers)
-	add := a.add(group, "add", "Adds a member.", func(ctx context.Context) error { return a.addMember(ctx, f, f.id) })
+	add := a.add(group, "add", "Adds a member, or changes its addresses.", func(ctx context.Context) error { return a.addMember(ctx, f) })
 	add.AddPositionalValue(&f.id, "id", 1, true, "id of the member")
 	remove := a.add(group, "remove", "Removes a member.", func(ctx context.Context) error { return a.removeMember(ctx, f) })
 	remove.AddPositionalValue(&f.id, "id", 1, true, "id of the member")
-	replace := a.add(group, "replace", "Adds a member and then removes another.", func(ctx context.Context) error {
-		if err := a.addMember(ctx, f, f.successor); err != nil {
-			return err
-		}
-		return a.removeMember(ctx, f)
-	})
+	replace := a.add(group, "replace", "Puts a member in the place of another, which may have the same id and have lost its disk.", func(ctx context.Context) error { return a.replaceMember(ctx, f) })
 	replace.AddPositionalValue(&f.id, "id", 1, true, "id of the member to remove")
 	replace.AddPositionalValue(&f.successor, "successor", 2, true, "id of the member to add")
 	add.String(&f.linkAddr, "", "link-addr", "link address of the new member, IP:port")
@@ -133,19 +130,47 @@
 	return t.flush()
 }
 
-func (a *app) addMember(ctx context.Context, f *memberFlags, id string) error {
-	if f.linkAddr == "" || f.apiAddr == "" {
-		return usagef("--link-addr and --api-addr are required")
+func (a *app) addMember(ctx context.Context, f *memberFlags) error {
+	m, err := f.member(f.id)
+	if err != nil {
+		return err
 	}
 	c, err := a.connect()
 	if err != nil {
 		return err
 	}
-	m := apiv1.Member{ID: id, LinkAddr: f.linkAddr, APIAddr: f.apiAddr, Voter: true}
 	if _, err := c.PutMember(ctx, m, client.WriteOptions{}); err != nil {
 		return err
 	}
-	fmt.Fprintf(a.Err, "member %s was added\n", id)
+	fmt.Fprintf(a.Err, "member %s was added\n", f.id)
+	return nil
+}
+
+// member returns the voter under id with the addresses of the flags.
+func (f *memberFlags) member(id string) (apiv1.Member, error) {
+	if f.linkAddr == "" || f.apiAddr == "" {
+		return apiv1.Member{}, usagef("--link-addr and --api-addr are required")
+	}
+	return apiv1.Member{ID: id, LinkAddr: f.linkAddr, APIAddr: f.apiAddr, Voter: true}, nil
+}
+
+func (a *app) replaceMember(ctx context.Context, f *memberFlags) error {
+	m, err := f.member(f.successor)
+	if err != nil {
+		return err
+	}
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	// A repetition finds the successor in place of the member.
+	if err := requireMember(ctx, c, f.id, f.successor); err != nil {
+		return err
+	}
+	if _, err := c.ReplaceMember(ctx, f.id, m, client.WriteOptions{}); err != nil {
+		return err
+	}
+	fmt.Fprintf(a.Err, "member %s was replaced by %s\n", f.id, f.successor)
 	return nil
 }
 
@@ -154,6 +179,9 @@
 	if err != nil {
 		return err
 	}
+	if err := requireMember(ctx, c, f.id); err != nil {
+		return err
+	}
 	if _, err := c.RemoveMember(ctx, f.id, client.WriteOptions{}); err != nil {
 		return err
 	}
@@ -161,6 +189,19 @@
 	return nil
 }
 
+// requireMember returns an error unless one of the ids is a member. The API
+// takes the removal of what is not there for a resend.
+func requireMember(ctx context.Context, c *client.Client, ids ...string) error {
+	members, err := c.Members(ctx)
+	if err != nil {
+		return err
+	}
+	if slices.ContainsFunc(members, func(m apiv1.Member) bool { return slices.Contains(ids, m.ID) }) {
+		return nil
+	}
+	return &apiv1.Error{Status: http.StatusConflict, Code: apiv1.CodeConflict, Message: fmt.Sprintf("there is no member %q", ids[0])}
+}
+
 // snapshotMode keeps a snapshot from other users: it holds change ids.
 const snapshotMode = 0o600
 
--- a/client/resources.go
+++ b/client/resources.go
@@ -176,6 +176,12 @@
 	return c.write(ctx, http.MethodPut, memberPath(m.ID), nil, m, opts)
 }
 
+// ReplaceMember adds a member of the control group in the place of the one with
+// the given id.
+func (c *Client) ReplaceMember(ctx context.Context, id string, m apiv1.Member, opts WriteOptions) (*apiv1.Applied, error) {
+	return c.write(ctx, http.MethodPut, memberPath(m.ID), url.Values{"replaces": {id}}, m, opts)
+}
+
 // RemoveMember removes a member of the control group.
 func (c *Client) RemoveMember(ctx context.Context, id string, opts WriteOptions) (*apiv1.Applied, error) {
 	return c.write(ctx, http.MethodDelete, memberPath(id), nil, nil, opts)
--- a/cmd/godwithub-control/main.go
+++ b/cmd/godwithub-control/main.go
@@ -41,6 +41,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	fleet, options := controld.NewFleet()
+	options.Replicate = controld.Replicate
 	defer fleet.Close()
 	d, err := controld.New(s, log, options)
 	if err != nil {
--- a/control/apiv1/documents.go
+++ b/control/apiv1/documents.go
@@ -19,8 +19,9 @@
 	MaxPageSize     = 1000
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes = 8 << 20
-	// MaxSnapshotBytes bounds the body of a restore.
-	MaxSnapshotBytes = 256 << 20
+	// MaxSnapshotBytes bounds the body of a restore, which is one command of the
+	// replicated log.
+	MaxSnapshotBytes = 64<<20 - 64<<10
 )
 
 // ErrorCode says what kind of error an answer reports.
--- a/control/replicator.go
+++ b/control/replicator.go
@@ -19,12 +19,19 @@
 	ErrNotLeader = errors.New("control: not the leader")
 	// ErrClosed says that the replicator was closed.
 	ErrClosed = errors.New("control: replicator is closed")
+	// ErrBusy says that the command was not accepted, since too much awaits
+	// commitment.
+	ErrBusy = errors.New("control: too many changes are under way")
+	// ErrTooLarge says that the command was not accepted, since it is too large
+	// to be replicated.
+	ErrTooLarge = errors.New("control: the command is too large")
 )
 
 // Replicator replicates commands to the state machines of the control group.
 type Replicator interface {
 	// Propose returns what Apply returned for command. After an error other
-	// than ErrNotLeader or ErrClosed the command may still be applied.
+	// than ErrNotLeader, ErrClosed, ErrBusy or ErrTooLarge the command may
+	// still be applied.
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	// ReadBarrier returns once the local state machine has applied all that was
 	// acknowledged before the call.
--- a/control/server/admin.go
+++ b/control/server/admin.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"strconv"
 
@@ -30,7 +32,11 @@
 	}
 	leader, _, _ := s.Replicator.Leader()
 	out := &apiv1.Members{Members: []apiv1.Member{}}
-	for _, m := range s.Machine.Members() {
+	members := s.Machine.Members()
+	if s.Members != nil {
+		members = s.Members.Members()
+	}
+	for _, m := range members {
 		out.Members = append(out.Members, apiv1.Member{ID: m.ID, LinkAddr: m.LinkAddr, APIAddr: m.APIAddr, Voter: m.Voter, Leader: m.ID == leader})
 	}
 	answer(ctx, http.StatusOK, out)
@@ -51,30 +57,46 @@
 		fail(ctx, http.StatusUnprocessableEntity, apiv1.CodeInvalid, "a member has a linkAddr and an apiAddr")
 		return
 	}
-	if s.Members != nil {
-		s.memberResult(ctx, s.Members.PutMember(ctx.Request().Context(), m))
-		return
+	replaces := ctx.URLParam("replaces")
+	switch {
+	case s.Members != nil && replaces != "":
+		s.changeMembers(ctx, func(c context.Context) error { return s.Members.ReplaceMember(c, replaces, m) })
+	case s.Members != nil:
+		s.changeMembers(ctx, func(c context.Context) error { return s.Members.PutMember(c, m) })
+	case replaces != "":
+		fail(ctx, http.StatusBadRequest, apiv1.CodeBadRequest, "a single member cannot be replaced")
+	default:
+		s.simple(ctx, &control.Command{Op: control.OpPutMember, Member: m})
 	}
-	s.simple(ctx, &control.Command{Op: control.OpPutMember, Member: m})
 }
 
 func (s *Server) deleteMember(ctx iris.Context) {
 	id := ctx.Params().Get("id")
 	if s.Members != nil {
-		s.memberResult(ctx, s.Members.RemoveMember(ctx.Request().Context(), id))
+		s.changeMembers(ctx, func(c context.Context) error { return s.Members.RemoveMember(c, id) })
 		return
 	}
 	s.simple(ctx, &control.Command{Op: control.OpRemoveMember, Member: control.Member{ID: id}})
 }
 
-func (s *Server) memberResult(ctx iris.Context, err error) {
-	if err != nil {
-		s.Log.Warn("change of members failed", "token", tokenOf(ctx).Name, "error", err)
-		ctx.Header("Retry-After", retryAfter)
-		fail(ctx, http.StatusServiceUnavailable, apiv1.CodeUnavailable, "the members were not changed: %s", err)
+// changeMembers carries out a change of members. It goes on if the client
+// leaves, so that a learner is not left without a vote.
+func (s *Server) changeMembers(ctx iris.Context, change func(context.Context) error) {
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx.Request().Context()), memberTimeout)
+	defer cancel()
+	err := change(c)
+	if err == nil {
+		s.Log.Info("members changed", "token", tokenOf(ctx).Name, "method", ctx.Method(), "path", ctx.Path())
+		answer(ctx, http.StatusOK, &apiv1.Applied{Version: s.Machine.Version()})
+		return
+	}
+	s.Log.Warn("change of members failed", "token", tokenOf(ctx).Name, "error", err)
+	if errors.Is(err, ErrMemberRefused) {
+		fail(ctx, http.StatusUnprocessableEntity, apiv1.CodeInvalid, "%s", err)
 		return
 	}
-	answer(ctx, http.StatusOK, &apiv1.Applied{Version: s.Machine.Version()})
+	ctx.Header("Retry-After", retryAfter)
+	fail(ctx, http.StatusServiceUnavailable, apiv1.CodeUnknownResult, "the change of members is not complete; send it again: %s", err)
 }
 
 func (s *Server) raiseEpoch(ctx iris.Context) {
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -26,6 +26,9 @@
 	proposeTimeout = 10 * time.Second
 	// barrierTimeout bounds the wait of a read for a majority.
 	barrierTimeout = 5 * time.Second
+	// memberTimeout bounds a change of members within one request; a repetition
+	// goes on with it. It is below the time for which clients wait.
+	memberTimeout = 12 * time.Second
 	// retryAfter is the value of Retry-After, in seconds.
 	retryAfter = "1"
 	// maxWatches bounds the open watches.
@@ -35,10 +38,20 @@
 //go:embed openapi.json
 var openAPI []byte
 
-// MemberChanger changes the members of the control group. Both methods return
-// once the change is in force.
+// ErrMemberRefused is wrapped by errors of a MemberChanger that a repetition
+// would not change.
+var ErrMemberRefused = errors.New("the change of members is refused")
+
+// MemberChanger changes the members of the control group. Changes return once
+// they are in force; a change that is in force already succeeds. An error may
+// leave a part of the change in force, and a repetition goes on from there.
 type MemberChanger interface {
+	// Members returns the members, by id.
+	Members() []control.Member
+	// PutMember adds m or changes its addresses.
 	PutMember(ctx context.Context, m control.Member) error
+	// ReplaceMember adds m in the place of the member with the given id.
+	ReplaceMember(ctx context.Context, id string, m control.Member) error
 	RemoveMember(ctx context.Context, id string) error
 }
 
@@ -209,6 +222,13 @@
 		ctx.Header("Retry-After", retryAfter)
 		fail(ctx, http.StatusServiceUnavailable, apiv1.CodeNoLeader, "the change was not accepted: this process no longer leads")
 		return nil
+	case errors.Is(err, control.ErrBusy):
+		ctx.Header("Retry-After", retryAfter)
+		fail(ctx, http.StatusServiceUnavailable, apiv1.CodeUnavailable, "the change was not accepted: too many changes are under way")
+		return nil
+	case errors.Is(err, control.ErrTooLarge):
+		fail(ctx, http.StatusRequestEntityTooLarge, apiv1.CodeTooLarge, "the change is too large to be replicated")
+		return nil
 	case err != nil:
 		s.metrics.Add("writesWithoutResult", 1)
 		s.Log.Warn("change without a result", "change", c.ChangeID, "error", err)
--- a/control/server/watch.go
+++ b/control/server/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"reflect"
 	"slices"
@@ -95,12 +97,11 @@
 		select {
 		case <-changed:
 		case <-poll.C:
-		case <-heartbeat.C:
 			if id, _, ok := w.Replicator.Leader(); !ok || id != w.NodeID {
 				return nil
 			}
-			v := w.since
-			if err := w.send(apiv1.Event{Type: apiv1.EventHeartbeat, Version: &v}); err != nil {
+		case <-heartbeat.C:
+			if err := w.sendHeartbeat(); err != nil {
 				return err
 			}
 		case <-gone:
@@ -111,6 +112,21 @@
 	}
 }
 
+// sendHeartbeat tells the client that it has all changes. A process that is cut
+// off from the others cannot know that, so the watch ends instead.
+func (w *watcher) sendHeartbeat() error {
+	ctx, cancel := context.WithTimeout(context.Background(), barrierTimeout)
+	defer cancel()
+	if err := w.Replicator.ReadBarrier(ctx); err != nil {
+		return fmt.Errorf("server: heartbeat not confirmed: %w", err)
+	}
+	if err := w.sendNews(); err != nil {
+		return err
+	}
+	v := w.since
+	return w.send(apiv1.Event{Type: apiv1.EventHeartbeat, Version: &v})
+}
+
 func (w *watcher) sendNews() error {
 	if w.since != w.Machine.Version() {
 		if err := w.sendChanges(); err != nil {
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -37,18 +37,29 @@
 	Mux    *link.Mux
 	Dialer link.Dialer // to other members
 	Log    *slog.Logger
+	// Current is that of the replication. It is set before Options.Register is
+	// called.
+	Current func() (ctx context.Context, ok bool)
 }
 
-// Replication replicates the configuration.
+// Replication replicates the configuration. One that is a server.MemberChanger
+// also changes the members, unless Options has another.
 type Replication interface {
 	control.Replicator
+	// Done is closed when the replication has ended, by Close or by a failure
+	// such as that of the disk. Nil stands for one that does not fail by itself.
+	Done() <-chan struct{}
+	// Current reports whether this process has all changes that were
+	// acknowledged up to a few seconds ago. The context ends when that may no
+	// longer be so.
+	Current() (ctx context.Context, ok bool)
 	Close() error
 }
 
 // Options are the exchangeable parts of a daemon.
 type Options struct {
-	// Replicate builds the replication. Nil stands for a single member with a
-	// journal in the data folder.
+	// Replicate builds the replication; see Replicate. Nil stands for a single
+	// member with a journal in the data folder.
 	Replicate func(Parts) (Replication, error)
 	// Holder receives each version, for distribution to nodes. May be nil.
 	Holder control.Holder
@@ -106,6 +117,7 @@
 	if d.replication, err = options.Replicate(d.parts); err != nil {
 		return nil, err
 	}
+	d.parts.Current = d.replication.Current
 	if options.Register != nil {
 		if err = options.Register(d.parts); err != nil {
 			return nil, err
@@ -123,9 +135,13 @@
 	if err != nil {
 		return err
 	}
+	members := d.options.Members
+	if m, ok := d.replication.(server.MemberChanger); ok && members == nil {
+		members = m
+	}
 	d.server, err = server.New(server.Config{
 		Machine: d.parts.Machine, Replicator: d.replication, Tokens: tokens, NodeID: d.set.NodeID,
-		Reached: d.options.Reached, Members: d.options.Members, Log: log,
+		Reached: d.options.Reached, Members: members, Log: log,
 	})
 	return err
 }
@@ -180,13 +196,16 @@
 	}
 	d.log.Info("member is up", "node", d.set.NodeID, "api", d.apiLn.Addr().String(), "link", listener.Addr(),
 		"version", d.parts.Machine.Version().String())
+	var failure error
 	select {
 	case <-ctx.Done():
 	case <-run.Done():
+	case <-d.replication.Done():
+		failure = errors.New("controld: the replication has failed")
 	}
 	d.log.Info("member is stopping")
 	err := d.shutdown(stop)
-	err = errors.Join(err, g.Wait())
+	err = errors.Join(failure, err, g.Wait())
 	if err == nil {
 		d.log.Info("member has stopped")
 	}
--- a/controld/controld_test.go
+++ b/controld/controld_test.go
@@ -129,16 +129,21 @@
 // against a group of several members that silently runs as one.
 func TestSettingsAreChecked(t *testing.T) {
 	set, _ := testSettings(t)
+	assert.ErrorContains(t, set.Check(), "exactly one")
+	set.Founders = []string{"c1=127.0.0.1:0/127.0.0.1:0"}
 	assert.NilError(t, set.Check())
 	bad := set
 	bad.DebugAddr, bad.LinkAddr, bad.APIAddr = "192.0.2.1:1", "0.0.0.0:1", "localhost:1"
 	for _, flag := range []string{"debug-addr", "link-addr", "api-addr"} {
 		assert.ErrorContains(t, bad.Check(), flag)
 	}
-	set.Peers = []string{"127.0.0.1:1"}
+	set.Founders = []string{"c1=127.0.0.1:1/127.0.0.1:2", "c2=127.0.0.1:3/127.0.0.1:4"}
+	assert.ErrorContains(t, set.Check(), "is not among them")
 	_, err := New(set, logging.Discard(), Options{})
-	assert.ErrorContains(t, err, "takes no peers")
-	set.Peers, set.NodeID = nil, "c2"
+	assert.ErrorContains(t, err, "takes no founders")
+	set.Join = true
+	assert.ErrorContains(t, set.Check(), "exactly one")
+	set.Founders, set.NodeID = nil, "c2"
 	_, err = New(set, logging.Discard(), Options{})
 	assert.ErrorContains(t, err, "the certificate is for")
 }
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -51,8 +52,8 @@
 		return fmt.Errorf("controld: link address: %w", err)
 	}
 	server := distribute.NewServer(distribute.Config{}, f.holder, p.Log)
-	p.Mux.Handle(wire.FrameConfigPull, server.HandlePull)
-	p.Mux.Handle(wire.FrameConfigWatch, server.HandleWatch)
+	p.Mux.Handle(wire.FrameConfigPull, f.whenCurrent(p, server.HandlePull))
+	p.Mux.Handle(wire.FrameConfigWatch, f.whenCurrent(p, server.HandleWatch))
 	f.dialer = tlslink.NewDialer(host, p.Ring.Client(keys.RoleNode))
 	self := fleet.Node{
 		ID:            fleet.NodeID(p.Settings.NodeID),
@@ -77,6 +78,39 @@
 	return nil
 }
 
+// holderTimeout bounds the wait for the holder to have what is in force here.
+const holderTimeout = 5 * time.Second
+
+// whenCurrent passes streams on while this member is current, and resets them
+// otherwise, so that nodes turn to another member. A member that replays its
+// log, or was cut off, would hand out a configuration that is no longer in force.
+func (f *Fleet) whenCurrent(p Parts, h link.Handler) link.Handler {
+	return func(ctx context.Context, s link.Stream, first link.Frame) {
+		current, ok := p.Current()
+		if !ok || !f.waitForHolder(ctx, p.Machine.Version()) {
+			s.Reset()
+			return
+		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(current, cancel)()
+		h(ctx, s, first)
+	}
+}
+
+// waitForHolder waits until the holder has version v, which it gets from
+// another goroutine.
+func (f *Fleet) waitForHolder(ctx context.Context, v resource.Version) bool {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	for f.holder.Version().Less(v) {
+		if !sleep(ctx, time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 // Close leaves membership.
 func (f *Fleet) Close() error {
 	if f.cancel == nil {
--- /dev/null
+++ b/controld/group_test.go
@@ -0,0 +1,228 @@
+package controld
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/client"
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/replica"
+	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// testGroup is a control group within the test's process.
+type testGroup struct {
+	t      *testing.T
+	dir    string
+	secret string
+	addrs  map[string]address
+	stops  map[string]func()
+}
+
+func newTestGroup(t *testing.T, ids ...string) *testGroup {
+	dir := t.TempDir()
+	g := &testGroup{t: t, dir: dir, addrs: map[string]address{}, stops: map[string]func(){}}
+	assert.NilError(t, keys.Init(g.path("ca")))
+	var err error
+	g.secret, err = server.NewToken(g.path("tokens"), "op", server.RoleAdmin)
+	assert.NilError(t, err)
+	for _, id := range ids {
+		assert.NilError(t, keys.Issue(g.path("ca"), g.path("keys-"+id), id, keys.RoleControl, time.Hour))
+		g.addrs[id] = address{id, freeAddr(t), freeAddr(t)}
+	}
+	t.Cleanup(func() {
+		for id := range g.stops {
+			g.stop(id)
+		}
+	})
+	return g
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (g *testGroup) path(name string) string { return filepath.Join(g.dir, name) }
+
+// start starts a member. Without founders it joins.
+func (g *testGroup) start(id string, founders ...string) *Daemon {
+	g.t.Helper()
+	a := g.addrs[id]
+	set := Defaults()
+	set.NodeID, set.LinkAddr, set.APIAddr, set.DebugAddr = id, a.linkAddr, a.apiAddr, "127.0.0.1:0"
+	set.Region, set.FailureDomain, set.GossipAddr = "doto", "obihiro-a", "127.0.0.1:0"
+	set.DataDir, set.KeysDir, set.TokenFile = g.path("data-"+id), g.path("keys-"+id), g.path("tokens")
+	for _, f := range founders {
+		b := g.addrs[f]
+		set.Founders = append(set.Founders, f+"="+b.linkAddr+"/"+b.apiAddr)
+	}
+	set.Join = len(founders) == 0
+	assert.NilError(g.t, set.Check())
+	d, err := New(set, logging.Discard(), Options{Replicate: Replicate})
+	assert.NilError(g.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	g.stops[id] = func() {
+		cancel()
+		assert.NilError(g.t, <-ended)
+	}
+	return d
+}
+
+func (g *testGroup) stop(id string) {
+	g.stops[id]()
+	delete(g.stops, id)
+}
+
+func (g *testGroup) client(ids ...string) *client.Client {
+	tlsConfig, err := keys.APIClient(g.path("ca/ca.crt"))
+	assert.NilError(g.t, err)
+	var servers []string
+	for _, id := range ids {
+		servers = append(servers, g.addrs[id].apiAddr)
+	}
+	c, err := client.New(client.Config{Servers: servers, TLS: tlsConfig, Token: g.secret, RetryFor: 20 * time.Second})
+	assert.NilError(g.t, err)
+	g.t.Cleanup(c.Close)
+	return c
+}
+
+func (g *testGroup) member(id string) apiv1.Member {
+	a := g.addrs[id]
+	return apiv1.Member{ID: id, LinkAddr: a.linkAddr, APIAddr: a.apiAddr, Voter: true}
+}
+
+// write creates a caller.
+func (g *testGroup) write(c *client.Client, name string) {
+	g.t.Helper()
+	o := &resource.Caller{Meta: resource.Meta{Name: name}, Weight: 1}
+	_, err := c.Apply(g.t.Context(), []apiv1.Write{{Op: apiv1.OpPut, Object: &apiv1.Resource{Object: o}}}, client.WriteOptions{})
+	assert.NilError(g.t, err)
+}
+
+func (g *testGroup) ids(c *client.Client) (ids []string) {
+	g.t.Helper()
+	members, err := c.Members(g.t.Context())
+	assert.NilError(g.t, err)
+	for _, m := range members {
+		assert.Assert(g.t, m.Voter, "%s is no voter", m.ID)
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// Guards against a blank disk that founds a second group or votes under the
+// identity of the lost one, against a replacement that leaves the group without
+// a majority at the next loss, and against changes of members that lose
+// configuration.
+func TestLostDiskIsReplaced(t *testing.T) {
+	g := newTestGroup(t, "c1", "c2", "c3", "c4")
+	founders := []string{"c1", "c2", "c3"}
+	for _, id := range founders {
+		g.start(id, founders...)
+	}
+	c := g.client("c1", "c2", "c3", "c4")
+	g.write(c, "a")
+	assert.DeepEqual(t, g.ids(c), founders)
+
+	g.stop("c2")
+	assert.NilError(t, os.RemoveAll(g.path("data-c2")))
+	blank := g.start("c2", founders...)
+	group := blank.replication.(*Group)
+	waitFor(t, func() error {
+		if group.replica.Load() == nil {
+			return errors.New("the replica has not started")
+		}
+		return nil
+	})
+	g.write(c, "b")
+	assert.Equal(t, group.info().Blank, true)
+	assert.Equal(t, len(group.Members()), 0)
+
+	_, err := c.PutMember(t.Context(), g.member("c2"), client.WriteOptions{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, g.ids(c), founders)
+	// The next loss leaves the new replica and one other.
+	g.stop("c3")
+	g.write(c, "c")
+	g.start("c4")
+	_, err = c.ReplaceMember(t.Context(), "c3", g.member("c4"), client.WriteOptions{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, g.ids(c), []string{"c1", "c2", "c4"})
+	_, err = c.RemoveMember(t.Context(), "c1", client.WriteOptions{})
+	assert.NilError(t, err)
+	g.write(c, "d")
+	assert.DeepEqual(t, g.ids(c), []string{"c2", "c4"})
+	callers, err := c.List(t.Context(), resource.TypeCaller, 100, "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(callers.Items), 4)
+}
+
+// Guards against a member with a foreign log, and against another process at
+// the address of a member.
+func TestUnfitMembersAreRefused(t *testing.T) {
+	g := newTestGroup(t, "c1", "c2", "c3")
+	g.start("c1", "c1")
+	g.start("c2", "c2")
+	c := g.client("c1")
+	g.write(c, "a")
+	g.write(g.client("c2"), "b")
+	_, err := c.PutMember(t.Context(), g.member("c2"), client.WriteOptions{})
+	assert.ErrorContains(t, err, "is not blank")
+	wrong := g.member("c2")
+	wrong.ID = "c3"
+	_, err = c.PutMember(t.Context(), wrong, client.WriteOptions{})
+	assert.ErrorContains(t, err, `is for "c2", not for "c3"`)
+	_, err = c.RemoveMember(t.Context(), "c1", client.WriteOptions{})
+	assert.ErrorContains(t, err, "last voter")
+	assert.DeepEqual(t, g.ids(c), []string{"c1"})
+}
+
+func waitFor(t *testing.T, condition func() error) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err = condition(); err == nil {
+			return
+		}
+	}
+	t.Fatal(err)
+}
+
+// Guards against a proposal of unknown fate that is reported as not applied:
+// the operator would send it again under a new change id, and it would be
+// applied twice.
+func TestUnknownFatesStayUnknown(t *testing.T) {
+	definite := []error{control.ErrNotLeader, control.ErrClosed, control.ErrBusy, control.ErrTooLarge}
+	for _, tt := range []struct{ err, want error }{
+		{&replica.NotLeaderError{Leader: 1}, control.ErrNotLeader},
+		{fmt.Errorf("wrapped: %w", consensus.ErrBusy), control.ErrBusy},
+		{replica.ErrStopped, control.ErrClosed},
+		{&replica.UnknownError{Cause: &replica.NotLeaderError{}}, nil},
+		{&replica.UnknownError{Cause: replica.ErrStopped}, nil},
+		{&replica.UnknownError{Cause: context.DeadlineExceeded}, nil},
+		{errors.New("other"), nil},
+	} {
+		got := mapError(tt.err)
+		for _, d := range definite {
+			assert.Equal(t, errors.Is(got, d), d == tt.want, "%v is mapped to %v", tt.err, got)
+		}
+	}
+}
--- a/controld/local.go
+++ b/controld/local.go
@@ -4,16 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/control/server"
 	"github.com/godwithub/godwithub/logging"
 )
 
 // replicateLocally builds the replication of a single member.
 func replicateLocally(p Parts) (Replication, error) {
-	if len(p.Settings.Peers) > 0 {
-		return nil, errors.New("controld: this build runs a single member and takes no peers")
+	if len(p.Settings.Founders) > 1 {
+		return nil, errors.New("controld: a journal is for a single member and takes no founders")
 	}
 	journal, err := control.OpenJournal(p.Settings.DataDir, logging.Part(p.Log, "journal"))
 	if err != nil {
@@ -28,9 +30,20 @@
 		local.Close()
 		return nil, err
 	}
-	return local, nil
+	return localReplication{local, p.Machine}, nil
 }
 
+// localReplication never ends by itself. Its members are only recorded.
+type localReplication struct {
+	*control.Local
+	machine *control.Machine
+}
+
+var _ server.MemberChanger = localReplication{}
+
+// Done implements Replication.
+func (localReplication) Done() <-chan struct{} { return nil }
+
 // recordSelf records this process as the member, unless it is recorded already.
 func recordSelf(p Parts, r control.Replicator) error {
 	self := control.Member{ID: p.Settings.NodeID, LinkAddr: p.Settings.LinkAddr, APIAddr: p.Settings.APIAddr, Voter: true}
@@ -49,3 +62,39 @@
 	}
 	return nil
 }
+
+// Current implements Replication.
+func (localReplication) Current() (ctx context.Context, ok bool) { return context.Background(), true }
+
+// Members implements server.MemberChanger.
+func (l localReplication) Members() []control.Member { return l.machine.Members() }
+
+// PutMember implements server.MemberChanger.
+func (l localReplication) PutMember(ctx context.Context, m control.Member) error {
+	return l.record(ctx, &control.Command{Op: control.OpPutMember, Member: m})
+}
+
+// ReplaceMember implements server.MemberChanger.
+func (l localReplication) ReplaceMember(ctx context.Context, id string, m control.Member) error {
+	if err := l.PutMember(ctx, m); err != nil || m.ID == id {
+		return err
+	}
+	return l.RemoveMember(ctx, id)
+}
+
+// RemoveMember implements server.MemberChanger.
+func (l localReplication) RemoveMember(ctx context.Context, id string) error {
+	if !slices.ContainsFunc(l.Members(), func(m control.Member) bool { return m.ID == id }) {
+		return nil
+	}
+	return l.record(ctx, &control.Command{Op: control.OpRemoveMember, Member: control.Member{ID: id}})
+}
+
+func (l localReplication) record(ctx context.Context, c *control.Command) error {
+	c.At = time.Now().Unix()
+	result, err := control.Submit(ctx, l, c)
+	if err == nil && result.Code != control.CodeOK {
+		err = fmt.Errorf("%w: %s", server.ErrMemberRefused, result.Message)
+	}
+	return err
+}
--- /dev/null
+++ b/controld/replicate.go
@@ -0,0 +1,238 @@
+package controld
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/disk"
+	"github.com/godwithub/godwithub/consensus/replica"
+	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/wire"
+)
+
+const (
+	// groupName is the name of the control group in consensus messages.
+	groupName = "control"
+	// snapshotBytes is the size of applied commands after which a snapshot is
+	// taken. A snapshot at the target scale has about 10 MB, so this bounds the
+	// bytes written for snapshots to about those written for commands.
+	snapshotBytes = 8 << 20
+	// maxCommandBytes bounds a command. A larger one would not fit a message
+	// and could never be committed.
+	maxCommandBytes = 64 << 20
+	// oldJournal is the file of a single member of earlier versions.
+	oldJournal = "journal.db"
+)
+
+// Group replicates the configuration by consensus between the members of the
+// control group. It implements Replication and server.MemberChanger.
+type Group struct {
+	self      address
+	founders  []address // empty: join an existing group
+	log       *slog.Logger
+	machine   *control.Machine
+	dialer    link.Dialer
+	transport *replica.LinkTransport
+	store     *loadedStore
+
+	replica atomic.Pointer[replica.Replica] // nil until started
+	ended   chan struct{}
+	endOnce sync.Once
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	blank   bool                 // the disk has never belonged to a group
+	founded consensus.Membership // the first membership, if it is known
+
+	current  currency
+	changing chan struct{} // holds one token while members are changed
+}
+
+// loadedStore is a store whose contents were read already.
+type loadedStore struct {
+	*disk.Store
+	stored consensus.Stored
+}
+
+// Load implements consensus.Store.
+func (s *loadedStore) Load() (consensus.Stored, error) { return s.stored, nil }
+
+// Replicate builds the replication over the control group. The replica's disk
+// is in the data folder. A blank disk founds the group together with the other
+// founders, or joins an existing group as a new replica.
+func Replicate(p Parts) (_ Replication, err error) {
+	log := logging.Part(p.Log, "replica")
+	if _, err := os.Stat(filepath.Join(p.Settings.DataDir, oldJournal)); err == nil {
+		return nil, fmt.Errorf("controld: %s holds the journal of a single member: save a snapshot with the version that wrote it, and restore that into a new group", p.Settings.DataDir)
+	}
+	founders, err := parseFounders(p.Settings.Founders)
+	if err != nil {
+		return nil, fmt.Errorf("controld: founders: %w", err)
+	}
+	store, err := disk.Open(p.Settings.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	stored, err := store.Load()
+	if err != nil {
+		return nil, errors.Join(err, store.Close())
+	}
+	g := &Group{
+		self:     address{p.Settings.NodeID, p.Settings.LinkAddr, p.Settings.APIAddr},
+		founders: founders, log: log, machine: p.Machine, dialer: p.Dialer,
+		transport: replica.NewLinkTransport(p.Dialer, linkAddrOf, log),
+		store:     &loadedStore{store, stored},
+		ended:     make(chan struct{}),
+		blank:     stored.Blank(),
+		changing:  make(chan struct{}, 1),
+	}
+	if stored.Snapshot.Index == 1 {
+		g.founded = stored.Snapshot.Membership
+	}
+	var ctx context.Context
+	ctx, g.cancel = context.WithCancel(context.Background())
+	p.Mux.Handle(wire.FrameConsensus, g.handleConsensus)
+	p.Mux.Handle(wire.FrameMemberInfo, g.handleInfo)
+	p.Mux.Handle(wire.FrameControlVersion, g.handleVersion)
+	g.running.Go(func() { g.keepCurrent(ctx) })
+	if g.blank && len(founders) > 0 {
+		g.running.Go(func() { g.found(ctx) })
+		return g, nil
+	}
+	if err := g.start(nil); err != nil {
+		g.cancel()
+		g.running.Wait()
+		return nil, errors.Join(err, store.Close())
+	}
+	return g, nil
+}
+
+// start runs the replica. founders is the first membership of the group if this
+// replica has a part in founding it.
+func (g *Group) start(founders consensus.Membership) error {
+	r, err := replica.Start(replica.Config{
+		Group: groupName, Addr: g.self.String(), Founders: founders,
+		Core:  consensus.Config{Seed: rand.Uint64()},
+		Store: g.store, Machine: g.machine, Transport: g.transport,
+		SnapshotBytes: snapshotBytes, Log: g.log,
+	})
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	if len(founders) > 0 {
+		g.blank, g.founded = false, founders
+	}
+	g.replica.Store(r)
+	g.mu.Unlock()
+	g.transport.Register(groupName, r)
+	go func() { <-r.Done(); g.fail() }()
+	g.log.Info("replica is up", "replica", g.store.ID().String(), "founders", len(founders))
+	return nil
+}
+
+// handleConsensus takes messages of members only: the link is open to all
+// processes of the fleet. A blank replica knows no members yet and takes messages
+// from all.
+func (g *Group) handleConsensus(ctx context.Context, s link.Stream, first link.Frame) {
+	if !g.expects(s.PeerName()) {
+		g.log.Warn("consensus stream of a process that is no member", "peer", s.PeerName())
+		s.Reset()
+		return
+	}
+	g.transport.Handle(ctx, s, first)
+}
+
+func (g *Group) expects(name string) bool {
+	members := g.Members()
+	if len(members) == 0 {
+		return true
+	}
+	named := func(m control.Member) bool { return m.ID == name }
+	return slices.ContainsFunc(members, named)
+}
+
+func (g *Group) fail() { g.endOnce.Do(func() { close(g.ended) }) }
+
+// Done implements Replication.
+func (g *Group) Done() <-chan struct{} { return g.ended }
+
+// Propose implements control.Replicator.
+func (g *Group) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	r := g.replica.Load()
+	switch {
+	case r == nil:
+		return nil, control.ErrNotLeader
+	case len(command) > maxCommandBytes:
+		return nil, control.ErrTooLarge
+	}
+	result, err := r.Propose(ctx, command)
+	return result, mapError(err)
+}
+
+// mapError turns an error of a replica into that of a control.Replicator. An
+// UnknownError stays as it is, whatever its cause: a leader that has lost its
+// leadership reports one whose cause is that it is not the leader, and the
+// command may still be committed by the next leader.
+func mapError(err error) error {
+	var unknown *replica.UnknownError
+	var notLeader *replica.NotLeaderError
+	switch {
+	case err == nil, errors.As(err, &unknown):
+		return err
+	case errors.As(err, &notLeader):
+		return fmt.Errorf("%w: %w", control.ErrNotLeader, err)
+	case errors.Is(err, consensus.ErrBusy):
+		return fmt.Errorf("%w: %w", control.ErrBusy, err)
+	case errors.Is(err, replica.ErrStopped):
+		return fmt.Errorf("%w: %w", control.ErrClosed, err)
+	}
+	return err
+}
+
+// ReadBarrier implements control.Replicator.
+func (g *Group) ReadBarrier(ctx context.Context) error {
+	r := g.replica.Load()
+	if r == nil {
+		return control.ErrNotLeader
+	}
+	return mapError(r.ReadBarrier(ctx))
+}
+
+// Leader implements control.Replicator.
+func (g *Group) Leader() (id, apiAddr string, ok bool) {
+	r := g.replica.Load()
+	if r == nil {
+		return "", "", false
+	}
+	leader, addr, ok := r.Leader()
+	a := parseAddress(addr)
+	// An earlier replica of this node id must not be taken for this one.
+	if !ok || a.id == "" || a.id == g.self.id && leader != g.store.ID() {
+		return "", "", false
+	}
+	return a.id, a.apiAddr, true
+}
+
+// Close stops the replica and closes its store.
+func (g *Group) Close() error {
+	g.cancel()
+	g.running.Wait()
+	g.transport.Close()
+	if r := g.replica.Load(); r != nil {
+		return r.Stop()
+	}
+	return g.store.Close()
+}
--- a/controld/settings.go
+++ b/controld/settings.go
@@ -4,7 +4,10 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
 )
 
 // Settings are the settings of a member of the control group. Each has a flag
@@ -23,7 +26,8 @@
 	DataDir   string   `flag:"data-dir" usage:"folder with the stored configuration" validate:"required"`
 	KeysDir   string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
 	TokenFile string   `flag:"token-file" usage:"file with the tokens of the resource API, see godwithub token new" validate:"required"`
-	Peers     []string `flag:"peers" usage:"link addresses of the other members, comma-separated; empty: a single member" list:"comma" validate:"dive,hostname_port"`
+	Founders  []string `flag:"founders" usage:"members of a new group as ID=LINKADDR/APIADDR, comma-separated, the same at all of them; ignored once the data folder belongs to a group" list:"comma"`
+	Join      bool     `flag:"join" usage:"a blank data folder waits until this member is added to an existing group"`
 
 	ShutdownTimeout time.Duration `flag:"shutdown-timeout" usage:"longest wait for requests in hand at a planned stop" range:"1s to 10m" validate:"min=1s,max=10m"`
 
@@ -53,7 +57,29 @@
 			faults = append(faults, fmt.Errorf("-%s: %q is not an IP address and port that others can reach", a.flag, a.addr))
 		}
 	}
-	return errors.Join(faults...)
+	return errors.Join(append(faults, s.checkGroup())...)
+}
+
+// checkGroup checks how a blank data folder comes to belong to a group.
+func (s *Settings) checkGroup() error {
+	if strings.ContainsFunc(s.NodeID, unicode.IsSpace) {
+		return fmt.Errorf("-node-id: %q has a space", s.NodeID)
+	}
+	if s.Join == (len(s.Founders) > 0) {
+		return errors.New("-founders, -join: exactly one of them is required")
+	}
+	if s.Join {
+		return nil
+	}
+	founders, err := parseFounders(s.Founders)
+	if err != nil {
+		return fmt.Errorf("-founders: %w", err)
+	}
+	self := address{s.NodeID, s.LinkAddr, s.APIAddr}
+	if !slices.Contains(founders, self) {
+		return fmt.Errorf("-founders: %s=%s/%s is not among them", s.NodeID, s.LinkAddr, s.APIAddr)
+	}
+	return nil
 }
 
 func hostIP(addr string) net.IP {
--- a/scenario/flags.go
+++ b/scenario/flags.go
@@ -50,10 +50,9 @@
 		"-api-addr", joinPort(ip, portAPI), "-debug-addr", joinPort(ip, portDebug),
 		"-data-dir", filepath.Join(w.work, "data", name), "-keys", keyDir, "-token-file", w.tokenFile(),
 	}
-	for _, addr := range w.controlAddrs(portLink) {
-		if addr != joinPort(ip, portLink) {
-			flags = append(flags, "-peers", addr)
-		}
+	for i := range w.control.count {
+		vm := w.vm(firstControlVM + i)
+		flags = append(flags, "-founders", controlName(i+1)+"="+joinPort(vm, portLink)+"/"+joinPort(vm, portAPI))
 	}
 	return append(flags, repeated("-seeds", w.seeds())...)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -35,7 +35,11 @@
 	FrameMembers link.FrameType = 24 // full membership
 
 	// Consensus.
-	FrameConsensus link.FrameType = 32 // consensus messages of one group
+	FrameConsensus  link.FrameType = 32 // consensus messages of one group
+	FrameMemberInfo link.FrameType = 33 // identity of a control replica; empty, answered once
+	// FrameControlVersion asks the leader of the control group for its confirmed
+	// version; empty, answered with a resource.Version.
+	FrameControlVersion link.FrameType = 34
 
 	// Idempotency groups.
 	FrameGroupCall   link.FrameType = 40 // command for a group
