Add scenarios of the control group on real processes

Cause: nothing showed that three control VMs keep and hand out the configuration under the faults of the design.

A history of concurrent clients, and of reads at each member without redirects, is checked for linearizability with porcupine. New commands are in scenario/group.go. They found three faults, which are fixed here. Control VMs counted as feeders of their region, so with three of them no node watched control (node at 1.70, 1.101 applied); distribute leaves them out now. A member whose leader had just died handed out a configuration without the last change (n1 went back from 1.1001 to 1.1000); each watch and pull is now confirmed by the leader. The commands resent a change id with other content. -link-advertise lets a relay stand in front of a member.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -39,7 +39,7 @@
 	Log    *slog.Logger
 	// Current is that of the replication. It is set before Options.Register is
 	// called.
-	Current func() (ctx context.Context, ok bool)
+	Current func(ctx context.Context) (context.Context, error)
 }
 
 // Replication replicates the configuration. One that is a server.MemberChanger
@@ -49,10 +49,10 @@
 	// Done is closed when the replication has ended, by Close or by a failure
 	// such as that of the disk. Nil stands for one that does not fail by itself.
 	Done() <-chan struct{}
-	// Current reports whether this process has all changes that were
-	// acknowledged up to a few seconds ago. The context ends when that may no
-	// longer be so.
-	Current() (ctx context.Context, ok bool)
+	// Current returns once this process has all changes that were acknowledged
+	// before the call. The context that it returns ends when the process may no
+	// longer get new ones.
+	Current(ctx context.Context) (context.Context, error)
 	Close() error
 }
 
--- a/controld/current.go
+++ b/controld/current.go
@@ -15,13 +15,10 @@
 
 const (
 	// confirmInterval is the time between confirmations that the configuration
-	// here is current.
+	// here is current, beside those that are asked for.
 	confirmInterval = time.Second
 	// confirmTimeout bounds one confirmation, with the wait for what is missing.
 	confirmTimeout = 2 * time.Second
-	// confirmValid is how long a confirmation is good for. It ends by the clock,
-	// since a process that was frozen cannot note that it was cut off.
-	confirmValid = confirmInterval + confirmTimeout
 	// leaderPoll is the time between looks whether the leader is still known.
 	leaderPoll = 100 * time.Millisecond
 )
@@ -30,26 +27,24 @@
 // that has just started, was cut off or was frozen holds an old one; a node
 // that starts with that would go back behind what it had in force.
 type currency struct {
-	mu     sync.Mutex
-	ctx    context.Context // ends when the member is no longer current
-	end    context.CancelFunc
-	expiry time.Time
-}
+	// confirming is held during a confirmation, so that all that wait share
+	// the next one.
+	confirming sync.Mutex
+	confirmed  time.Time // start of the last successful confirmation
 
-// get returns a context that ends when the member may no longer be current.
-func (c *currency) get() (ctx context.Context, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ctx, c.ctx != nil && time.Now().Before(c.expiry)
+	mu  sync.Mutex
+	ctx context.Context // ends when the member is no longer current
+	end context.CancelFunc
 }
 
-func (c *currency) confirm(at time.Time) {
+// hold returns the context of the present currency.
+func (c *currency) hold() context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.expiry = at.Add(confirmValid)
 	if c.ctx == nil {
 		c.ctx, c.end = context.WithCancel(context.Background())
 	}
+	return c.ctx
 }
 
 func (c *currency) lose() {
@@ -61,22 +56,37 @@
 	}
 }
 
-// Current implements Replication.
-func (g *Group) Current() (ctx context.Context, ok bool) { return g.current.get() }
+// Current implements Replication. What a majority confirmed before the call is
+// not enough: a member may lack the last change for as long as the death of the
+// leader goes unnoticed, while nodes have it already.
+func (g *Group) Current(ctx context.Context) (context.Context, error) {
+	asked := time.Now()
+	g.current.confirming.Lock()
+	defer g.current.confirming.Unlock()
+	if g.current.confirmed.After(asked) {
+		return g.current.hold(), nil
+	}
+	start := time.Now()
+	if err := g.confirmCurrent(ctx); err != nil {
+		return nil, err
+	}
+	g.current.confirmed = start
+	return g.current.hold(), nil
+}
 
-// keepCurrent confirms again and again that the configuration here is current.
+// keepCurrent confirms again and again that the configuration here is current,
+// and ends the context of Current once that fails.
 func (g *Group) keepCurrent(ctx context.Context) {
 	defer g.current.lose()
 	for ctx.Err() == nil {
-		asked := time.Now()
-		if err := g.confirmCurrent(ctx); err != nil {
+		start := time.Now()
+		if _, err := g.Current(ctx); err != nil {
 			g.current.lose()
 			g.log.Debug("not current", "cause", err)
 			sleep(ctx, leaderPoll)
 			continue
 		}
-		g.current.confirm(asked)
-		for g.hasLeader() && ctx.Err() == nil && time.Since(asked) < confirmInterval {
+		for g.hasLeader() && ctx.Err() == nil && time.Since(start) < confirmInterval {
 			sleep(ctx, leaderPoll)
 		}
 		if !g.hasLeader() {
--- a/controld/debug.go
+++ b/controld/debug.go
@@ -12,9 +12,11 @@
 //	GET /healthz      200 while the control group has a leader, else 503
 func (d *Daemon) debugHandler() http.Handler {
 	vars := map[string]expvar.Var{
-		"control":  d.parts.Machine.Metrics(),
-		"api":      d.server.Metrics(),
-		"memstats": expvar.Get("memstats"),
+		"control": d.parts.Machine.Metrics(),
+		"api":     d.server.Metrics(),
+		// Counts of all consensus replicas of the process.
+		"consensus": expvar.Get("consensus"),
+		"memstats":  expvar.Get("memstats"),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -60,7 +60,7 @@
 		Incarnation:   uint64(time.Now().UnixMilli()),
 		Region:        p.Settings.Region,
 		FailureDomain: p.Settings.FailureDomain,
-		LinkAddr:      p.Settings.LinkAddr,
+		LinkAddr:      p.Settings.linkTarget(),
 		GossipAddr:    p.Settings.GossipAddr,
 		Control:       true,
 	}
@@ -86,8 +86,8 @@
 // log, or was cut off, would hand out a configuration that is no longer in force.
 func (f *Fleet) whenCurrent(p Parts, h link.Handler) link.Handler {
 	return func(ctx context.Context, s link.Stream, first link.Frame) {
-		current, ok := p.Current()
-		if !ok || !f.waitForHolder(ctx, p.Machine.Version()) {
+		current, err := p.Current(ctx)
+		if err != nil || !f.waitForHolder(ctx, p.Machine.Version()) {
 			s.Reset()
 			return
 		}
--- a/controld/local.go
+++ b/controld/local.go
@@ -64,7 +64,9 @@
 }
 
 // Current implements Replication.
-func (localReplication) Current() (ctx context.Context, ok bool) { return context.Background(), true }
+func (localReplication) Current(context.Context) (context.Context, error) {
+	return context.Background(), nil
+}
 
 // Members implements server.MemberChanger.
 func (l localReplication) Members() []control.Member { return l.machine.Members() }
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -90,7 +90,7 @@
 		return nil, errors.Join(err, store.Close())
 	}
 	g := &Group{
-		self:     address{p.Settings.NodeID, p.Settings.LinkAddr, p.Settings.APIAddr},
+		self:     p.Settings.address(),
 		founders: founders, log: log, machine: p.Machine, dialer: p.Dialer,
 		transport: replica.NewLinkTransport(p.Dialer, linkAddrOf, log),
 		store:     &loadedStore{store, stored},
--- a/controld/settings.go
+++ b/controld/settings.go
@@ -13,10 +13,11 @@
 // Settings are the settings of a member of the control group. Each has a flag
 // and an environment variable of the same name.
 type Settings struct {
-	NodeID    string `flag:"node-id" usage:"id of this member, unique in the control group and equal to the name in its certificate" validate:"required,max=128"`
-	LinkAddr  string `flag:"link-addr" usage:"IP:port for streams from other processes of the fleet" validate:"required,hostname_port"`
-	APIAddr   string `flag:"api-addr" usage:"IP:port of the resource API over HTTPS; other members redirect clients to it" validate:"required,hostname_port"`
-	DebugAddr string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
+	NodeID        string `flag:"node-id" usage:"id of this member, unique in the control group and equal to the name in its certificate" validate:"required,max=128"`
+	LinkAddr      string `flag:"link-addr" usage:"IP:port for streams from other processes of the fleet" validate:"required,hostname_port"`
+	LinkAdvertise string `flag:"link-advertise" usage:"IP:port that others dial instead of link-addr; empty: link-addr" validate:"omitempty,hostname_port"`
+	APIAddr       string `flag:"api-addr" usage:"IP:port of the resource API over HTTPS; other members redirect clients to it" validate:"required,hostname_port"`
+	DebugAddr     string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
 
 	Region        string   `flag:"region" usage:"region of this VM" validate:"required,max=63"`
 	FailureDomain string   `flag:"failure-domain" usage:"failure domain of this VM" validate:"required,max=63"`
@@ -49,9 +50,9 @@
 			faults = append(faults, fmt.Errorf("-debug-addr: %q is not a loopback IP address and port", s.DebugAddr))
 		}
 	}
-	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"api-addr", s.APIAddr}, {"gossip-addr", s.GossipAddr}} {
+	for _, a := range []struct{ flag, addr string }{{"link-addr", s.LinkAddr}, {"link-advertise", s.LinkAdvertise}, {"api-addr", s.APIAddr}, {"gossip-addr", s.GossipAddr}} {
 		if a.addr == "" {
-			continue // reported as required
+			continue // optional, or reported as required
 		}
 		if ip := hostIP(a.addr); ip == nil || ip.IsUnspecified() {
 			faults = append(faults, fmt.Errorf("-%s: %q is not an IP address and port that others can reach", a.flag, a.addr))
@@ -60,6 +61,17 @@
 	return errors.Join(append(faults, s.checkGroup())...)
 }
 
+// address returns where others reach this member.
+func (s *Settings) address() address { return address{s.NodeID, s.linkTarget(), s.APIAddr} }
+
+// linkTarget returns the address at which others open streams to this process.
+func (s *Settings) linkTarget() string {
+	if s.LinkAdvertise != "" {
+		return s.LinkAdvertise
+	}
+	return s.LinkAddr
+}
+
 // checkGroup checks how a blank data folder comes to belong to a group.
 func (s *Settings) checkGroup() error {
 	if strings.ContainsFunc(s.NodeID, unicode.IsSpace) {
@@ -75,9 +87,8 @@
 	if err != nil {
 		return fmt.Errorf("-founders: %w", err)
 	}
-	self := address{s.NodeID, s.LinkAddr, s.APIAddr}
-	if !slices.Contains(founders, self) {
-		return fmt.Errorf("-founders: %s=%s/%s is not among them", s.NodeID, s.LinkAddr, s.APIAddr)
+	if self := s.address(); !slices.Contains(founders, self) {
+		return fmt.Errorf("-founders: %s=%s/%s is not among them", self.id, self.linkAddr, self.apiAddr)
 	}
 	return nil
 }
--- a/distribute/distribute_test.go
+++ b/distribute/distribute_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/resource"
 )
 
@@ -208,3 +209,16 @@
 		}
 	})
 }
+
+// Guards against control VMs that take the first ranks of their region in
+// membership, after which no node there watches control.
+func TestControlVMsAreNoFeeders(t *testing.T) {
+	p := newPeers(fleet.Node{ID: "node", Region: "doto"})
+	for i := range 9 {
+		p.update(fleet.Node{ID: fleet.NodeID(fmt.Sprint("control-", i)), Region: "doto", State: fleet.NodeAlive, Control: true})
+	}
+	p.update(fleet.Node{ID: "other", Region: "doto", State: fleet.NodeAlive})
+	r := p.rank(nil)
+	assert.Equal(t, len(r.nodes), 2)
+	assert.Assert(t, r.own < 2)
+}
--- a/distribute/peers.go
+++ b/distribute/peers.go
@@ -43,9 +43,11 @@
 	return &peers{self: self, byID: map[fleet.NodeID]*peer{}}
 }
 
-// update takes what membership says of a node.
+// update takes what membership says of a node. Control VMs are left out: they
+// do not watch control, so a region where they have the first ranks would have
+// no feeder.
 func (p *peers) update(n fleet.Node) {
-	if n.ID == p.self.ID {
+	if n.ID == p.self.ID || n.Control {
 		return
 	}
 	p.mu.Lock()
--- a/scenario/control.go
+++ b/scenario/control.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/godwithub/godwithub/control/apiv1"
 	"github.com/godwithub/godwithub/control/server"
@@ -28,9 +29,10 @@
 
 // controlState is the control group of one script.
 type controlState struct {
-	count  int
-	secret string // token of the scripts
-	client *http.Client
+	count   int
+	relayed bool   // a relay is in front of each member's link address
+	secret  string // token of the scripts
+	client  *http.Client
 	// applied is the version of the last accepted write.
 	applied resource.Version
 }
@@ -47,7 +49,7 @@
 }
 
 // startControl starts a control group.
-func (w *world) startControl(text string) error {
+func (w *world) startControl(ts *testscript.TestScript, text string, relayed bool) error {
 	n, err := strconv.Atoi(text)
 	if err != nil || n < 1 || n > 9 {
 		return misused("%q is no number of control VMs", text)
@@ -55,18 +57,18 @@
 	if w.control.count > 0 {
 		return misused("the control group runs already")
 	}
-	w.control.count = n
+	w.control.count, w.control.relayed = n, relayed
 	w.control.secret, err = server.NewToken(w.tokenFile(), "scenario", server.RoleAdmin)
 	if err != nil {
 		return err
 	}
 	for i := range n {
-		name := controlName(i + 1)
-		dir, err := w.issueKeys(name, keys.RoleControl)
-		if err != nil {
+		m := member{controlName(i + 1), firstControlVM + i}
+		ts.Setenv(m.name, w.vm(m.vm))
+		if err := w.startMemberRelay(m); err != nil {
 			return err
 		}
-		if err := w.start(name, controlProgram, w.controlFlags(name, w.vm(firstControlVM+i), dir)); err != nil {
+		if err := w.startMember(m, false); err != nil {
 			return err
 		}
 	}
@@ -104,16 +106,27 @@
 		}
 		request.Writes = append(request.Writes, apiv1.Write{Op: apiv1.OpPut, Object: &apiv1.Resource{Object: o}})
 	}
-	// Resends after a lost answer carry the same change id.
-	changeID := uuid.NewString()
-	return waitUntil(applyBound, func() error {
+	var body []byte
+	err := waitUntil(applyBound, func() (err error) {
 		for _, write := range request.Writes {
 			if err := w.setRevision(write.Object.Object); err != nil {
 				return err
 			}
 		}
-		return w.submit(&request, changeID)
+		body, err = json.Marshal(request)
+		return err
 	})
+	if err != nil {
+		return err
+	}
+	return w.submitBody(body)
+}
+
+// submitBody applies a batch. Resends after a lost answer carry the same change
+// id and content.
+func (w *world) submitBody(body []byte) error {
+	changeID := uuid.NewString()
+	return waitUntil(applyBound, func() error { return w.submit(body, changeID) })
 }
 
 // setRevision sets the revision of o to that of the resource it replaces.
@@ -134,11 +147,7 @@
 	return nil
 }
 
-func (w *world) submit(request *apiv1.ApplyRequest, changeID string) error {
-	b, err := json.Marshal(request)
-	if err != nil {
-		return misused("%v", err)
-	}
+func (w *world) submit(b []byte, changeID string) error {
 	status, body, err := w.callControl(http.MethodPost, "/v1/apply", b, changeID)
 	if err != nil {
 		return err
--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -35,6 +35,7 @@
 //	waitfor BOUND log NAME REGEXP        a line in the log of a process or load
 //	waitfor BOUND cmd PROGRAM [ARG...]   a command succeeds
 //	fleet ...                            see fleet.go
+//	group ...                            see group.go
 //
 // FILTER is path=PREFIX, upstream=ID or result=RESULT. OP is one of == != < <=
 // > >=. PATH joins names by dots; an element of an array is named by its
--- a/scenario/env.go
+++ b/scenario/env.go
@@ -48,6 +48,8 @@
 	fleet     *fleetState
 	control   *controlState
 	watch     *versionWatch
+	history   *history
+	histories int // begun so far
 }
 
 type worldKey struct{}
@@ -69,6 +71,7 @@
 			"runs":    onWorld(runsCommand),
 			"waitfor": onWorld(waitCommand),
 			"fleet":   onWorld(fleetCommand),
+			"group":   onWorld(groupCommand),
 		},
 	}
 }
@@ -159,6 +162,9 @@
 	}
 	// No process starts once the lock has been held after this.
 	close(w.closing)
+	if w.history != nil {
+		w.history.cancel()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.processes {
--- a/scenario/flags.go
+++ b/scenario/flags.go
@@ -1,7 +1,5 @@
 package scenario
 
-import "path/filepath"
-
 // This file alone knows the program and flag names of the daemons.
 
 const (
@@ -31,7 +29,7 @@
 		"-gossip-addr", n.addr(portGossip), "-announce-addr", n.addr(portAnnounce),
 		"-debug-addr", n.addr(portDebug), "-keys", keyDir,
 	}
-	flags = append(flags, repeated("-control-addrs", w.controlAddrs(portLink))...)
+	flags = append(flags, repeated("-control-addrs", w.controlLinks())...)
 	return append(flags, repeated("-seeds", w.seeds())...)
 }
 
@@ -43,16 +41,23 @@
 	return []string{joinPort(w.vm(1), portLink)}
 }
 
-func (w *world) controlFlags(name, ip, keyDir string) []string {
+func (w *world) controlFlags(m member, keyDir string, join bool) []string {
+	ip := w.vm(m.vm)
 	flags := []string{
-		"-node-id", name, "-region", controlRegion, "-failure-domain", controlDomain,
+		"-node-id", m.name, "-region", controlRegion, "-failure-domain", controlDomain,
 		"-link-addr", joinPort(ip, portLink), "-gossip-addr", joinPort(ip, portGossip),
 		"-api-addr", joinPort(ip, portAPI), "-debug-addr", joinPort(ip, portDebug),
-		"-data-dir", filepath.Join(w.work, "data", name), "-keys", keyDir, "-token-file", w.tokenFile(),
+		"-data-dir", w.dataDir(m.name), "-keys", keyDir, "-token-file", w.tokenFile(),
+	}
+	if w.control.relayed {
+		flags = append(flags, "-link-advertise", w.memberLink(m))
+	}
+	if join {
+		return append(flags, append(repeated("-seeds", w.seeds()), "-join")...)
 	}
 	for i := range w.control.count {
-		vm := w.vm(firstControlVM + i)
-		flags = append(flags, "-founders", controlName(i+1)+"="+joinPort(vm, portLink)+"/"+joinPort(vm, portAPI))
+		f := member{controlName(i + 1), firstControlVM + i}
+		flags = append(flags, "-founders", f.name+"="+w.memberLink(f)+"/"+joinPort(w.vm(f.vm), portAPI))
 	}
 	return append(flags, repeated("-seeds", w.seeds())...)
 }
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -19,7 +19,8 @@
 // The fleet command starts daemons with sensible flags:
 //
 //	fleet seeds ADDR...                        link addresses to join by, instead of the first node's
-//	fleet control N                            start a control group of N on VMs of their own
+//	fleet control N [relayed]                  start a control group of N on VMs of their own, with a
+//	                                           relay in front of each member's link if asked to
 //	fleet config FILE|default                  put a configuration in force
 //	fleet node NAME REGION DOMAIN [FLAG...]    start a node on the next free VM
 //	fleet upstream NAME NODE SERVICE [FLAG...] start a stand-in on the VM of a node
@@ -79,7 +80,9 @@
 	}
 	switch action, rest := args[0], args[1:]; {
 	case action == "control" && len(rest) == 1:
-		return w.startControl(rest[0])
+		return w.startControl(ts, rest[0], false)
+	case action == "control" && len(rest) == 2 && rest[1] == "relayed":
+		return w.startControl(ts, rest[0], true)
 	case action == "config" && len(rest) == 1:
 		if rest[0] == "default" {
 			return w.applyConfig(defaultConfig)
