Measure the control group

Cause: the time without a leader, the rate of writes and the cost of the target scale were not known for a replicated group.

--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -25,8 +25,8 @@
 	// groupName is the name of the control group in consensus messages.
 	groupName = "control"
 	// snapshotBytes is the size of applied commands after which a snapshot is
-	// taken. A snapshot at the target scale has about 10 MB, so this bounds the
-	// bytes written for snapshots to about those written for commands.
+	// taken. A snapshot at the target scale has about 4 MB, so snapshots add at
+	// most half to the bytes that are written for commands.
 	snapshotBytes = 8 << 20
 	// maxCommandBytes bounds a command. A larger one would not fit a message
 	// and could never be committed.
--- a/scenario/group.go
+++ b/scenario/group.go
@@ -16,7 +16,6 @@
 
 	"github.com/godwithub/godwithub/control/apiv1"
 	"github.com/godwithub/godwithub/keys"
-	"github.com/godwithub/godwithub/resource"
 )
 
 // The group command works on the control group:
@@ -25,7 +24,8 @@
 //	group elections MAX               the running members have won at most that many
 //	group join                        start a further control process, which waits to be added
 //	group cli ARG...                  run the command line with the fleet's token
-//	group callers N                   create N callers
+//	group fill ROUTES CALLERS         create that many
+//	group measure ...                 see measure.go
 //	group cut FROM TO                 drop all that one member sends to another
 //	group isolate NAME to|from|both   drop what a member gets from or sends to the others
 //	group heal                        end all cuts between members
@@ -50,8 +50,10 @@
 		return w.addMember(ts)
 	case action == "cli":
 		return w.runCLI(ts, rest)
-	case action == "callers" && len(rest) == 1:
-		return w.loadCallers(rest[0])
+	case action == "fill" && len(rest) == 2:
+		return w.fill(rest[0], rest[1])
+	case action == "measure" && len(rest) > 0:
+		return w.measure(rest, ts.Logf)
 	case action == "cut" && len(rest) == 2:
 		return w.cutMembers(rest[0], rest[1])
 	case action == "isolate" && len(rest) == 2:
@@ -280,30 +282,3 @@
 		}
 	}
 }
-
-// loadCallers creates N callers, in batches.
-func (w *world) loadCallers(text string) error {
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		return misused("%q is no number of callers", text)
-	}
-	const batch = 5000
-	for i := 0; i < n; i += batch {
-		var list []*resource.Caller
-		for j := i; j < min(n, i+batch); j++ {
-			list = append(list, &resource.Caller{Meta: resource.Meta{Name: fmt.Sprintf("filler-%d", j)}, Weight: 1})
-		}
-		request := apiv1.ApplyRequest{}
-		for _, c := range list {
-			request.Writes = append(request.Writes, apiv1.Write{Op: apiv1.OpPut, Object: &apiv1.Resource{Object: c}})
-		}
-		b, err := json.Marshal(request)
-		if err != nil {
-			return misused("%v", err)
-		}
-		if err := w.submitBody(b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -38,6 +38,18 @@
 	testscript.Run(t, Params("testdata", programs))
 }
 
+// measureVariable makes TestMeasureControl run.
+const measureVariable = "GODWITHUB_MEASURE"
+
+// Measures the control group for docs/measurements-control.md. It takes a
+// minute of a quiet machine and checks nothing that depends on speed.
+func TestMeasureControl(t *testing.T) {
+	if os.Getenv(measureVariable) == "" {
+		t.Skip(measureVariable + " is not set")
+	}
+	testscript.Run(t, Params("testdata/measure", programs))
+}
+
 // runRed runs one script that fails because of a fault listed in
 // KNOWN-RED.txt. Each has a test of its own, so that it can be passed over by
 // name; it moves to testdata once it passes.
