Relay first while a path is in trouble; keep relayed streams apart

Change: streams of failed routes stay open until the attempt ends; a relay stops reading before it passes the end on; a path that failed is relayed around at once while the ingress tests it every 0.5 s beside the traffic; a fresh connection to a known path is waited for as long as two acknowledgements.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -101,6 +101,7 @@
 func (d *Dispatcher) Register(m *link.Mux) {
 	m.Handle(wire.FrameAttempt, d.serveAttempt)
 	m.Handle(wire.FrameRelay, d.serveRelay)
+	m.Handle(wire.FramePing, servePing)
 }
 
 // Announce adds or updates an upstream. Once it drains, attempts that come or
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -34,7 +34,7 @@
 	toDispatcher := make(chan struct{})
 	go func() {
 		defer close(toDispatcher)
-		if forward(s, t, wire.FrameEnd) {
+		if end, err := forward(s, t, wire.FrameEnd); err == nil && t.WriteFrame(end.Type, end.Payload) == nil {
 			// The ingress sends nothing more; the read ends when it gives up, or
 			// when the answer is complete.
 			s.ReadFrame()
@@ -43,11 +43,14 @@
 			t.Reset()
 		}
 	}()
-	complete := forward(t, s, wire.FrameAnswerEnd)
-	answered.Store(complete)
+	end, err := forward(t, s, wire.FrameAnswerEnd)
+	answered.Store(err == nil)
+	// Reading ends before the answer does: once the ingress has the end, it may
+	// use the connection for its next exchange, whose first frame must not be
+	// read here.
 	s.SetReadDeadline(time.Now())
 	<-toDispatcher
-	if !complete {
+	if err != nil || s.WriteFrame(end.Type, end.Payload) != nil {
 		s.Reset()
 		t.Reset()
 		return
@@ -56,19 +59,15 @@
 	s.Close()
 }
 
-// forward copies frames up to and including the first of type last. It reports
-// whether it got there.
-func forward(from, to link.Stream, last link.FrameType) bool {
+// forward copies frames up to the first of type last, which it returns.
+func forward(from, to link.Stream, last link.FrameType) (link.Frame, error) {
 	for {
 		f, err := from.ReadFrame()
-		if err != nil {
-			return false
+		if err != nil || f.Type == last {
+			return f, err
 		}
 		if err := to.WriteFrame(f.Type, f.Payload); err != nil {
-			return false
-		}
-		if f.Type == last {
-			return true
+			return f, err
 		}
 	}
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -18,6 +18,9 @@
 	// dialTimeout bounds a new connection to a dispatcher. Two regions are
 	// 30 ms apart, and TCP with TLS takes two round trips.
 	dialTimeout = 500 * time.Millisecond
+	// dialTimeoutAcks bounds it further for a path that is known, in waits for
+	// an acknowledgement.
+	dialTimeoutAcks = 2
 	// silenceTimeout is how long a dispatcher may say nothing of an attempt. It
 	// repeats its acknowledgement every wire.AckInterval.
 	silenceTimeout = 5 * wire.AckInterval / 2
@@ -34,7 +37,6 @@
 	routeDirect route = iota
 	routeFresh        // over a new connection
 	routeRelay        // through a third node
-	routeCount
 )
 
 var routeNames = [...]string{"direct", "fresh", "relay"}
@@ -52,6 +54,10 @@
 	// acked is set once the dispatcher has shown that it has the attempt.
 	acked bool
 	out   *answer
+	// stale holds the streams of failed routes. They stay open until the
+	// attempt has ended: a dispatcher that saw one break might cancel an
+	// attempt that comes again over another route.
+	stale []link.Stream
 }
 
 // errSilent reports a dispatcher that did not acknowledge, or fell silent.
@@ -60,10 +66,11 @@
 // run makes the attempt. The same attempt is sent again over another route as
 // long as nothing of its answer has been passed on: the dispatcher runs it once.
 func (a *attempt) run(ctx context.Context) (outcome.Ended, *wire.Load) {
-	for r := routeDirect; r < routeCount; r++ {
+	defer a.resetStale()
+	for _, r := range a.routes() {
 		end, err := a.over(ctx, r)
 		if err == nil {
-			return outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}, &end.Load
+			return a.ended(ctx, end), &end.Load
 		}
 		if ctx.Err() != nil {
 			return a.interrupted(ctx), nil
@@ -72,21 +79,51 @@
 		if a.out.begun {
 			return outcome.MayHaveRun(outcome.ReasonShortAnswer), nil
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && r != routeRelay {
 			break // the process is gone, so no other route leads to it
 		}
-		if r == routeDirect {
+		switch r {
+		case routeDirect:
 			a.in.cfg.Dialer.Replace(a.u.LinkAddr)
 			a.in.stats.resends.Add(1)
+		case routeFresh:
+			a.in.pathFailed(a.u.Node, a.u.LinkAddr)
 		}
 	}
-	a.in.paths.failed(a.u.Node, time.Now())
 	if !a.mayRun {
 		return outcome.HasNotRun(outcome.ReasonPathDown), nil
 	}
 	return outcome.MayHaveRun(outcome.ReasonLostDispatcher), nil
 }
 
+// routes returns the routes to try in turn. Once a path is known to be in
+// trouble, requests no longer wait for it: a relay comes first, and the ingress
+// tests the path beside the traffic.
+func (a *attempt) routes() []route {
+	if a.in.paths.troubled(a.u.Node) {
+		return []route{routeRelay, routeFresh}
+	}
+	return []route{routeDirect, routeFresh, routeRelay}
+}
+
+// ended returns how a complete exchange says that the attempt ended. A
+// dispatcher that saw an earlier stream of the attempt break takes it for
+// canceled; while the caller is there, it may be tried again.
+func (a *attempt) ended(ctx context.Context, end *wire.AnswerEnd) outcome.Ended {
+	e := outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}
+	if e == outcome.HasNotRun(outcome.ReasonCanceled) && ctx.Err() == nil {
+		return outcome.HasNotRun(outcome.ReasonPathDown)
+	}
+	return e
+}
+
+// resetStale ends the streams of failed routes.
+func (a *attempt) resetStale() {
+	for _, s := range a.stale {
+		s.Reset()
+	}
+}
+
 // interrupted tells how an attempt ended whose context ended.
 func (a *attempt) interrupted(ctx context.Context) outcome.Ended {
 	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -110,16 +147,23 @@
 	}
 	stop := context.AfterFunc(ctx, s.Reset)
 	end, err := a.exchange(s, r)
-	if !stop() || err != nil {
+	switch {
+	case !stop():
 		s.Reset()
-		return end, err
+	case err != nil:
+		a.stale = append(a.stale, s)
+	default:
+		s.Close()
 	}
-	s.Close()
-	return end, nil
+	return end, err
 }
 
 func (a *attempt) open(ctx context.Context, r route) (link.Stream, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	timeout := dialTimeout
+	if r == routeFresh {
+		timeout = min(timeout, dialTimeoutAcks*a.in.paths.ackTimeout(a.u.Node))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if r != routeRelay {
 		return a.in.cfg.Dialer.Open(ctx, a.u.LinkAddr)
@@ -143,12 +187,11 @@
 // relay chooses a third node whose path is not in trouble, in this region if
 // there is one.
 func (a *attempt) relay() string {
-	now := time.Now()
 	best := ""
 	offset := int(a.rq.fingerprint % uint64(max(1, len(a.v.Nodes))))
 	for i := range a.v.Nodes {
 		n := &a.v.Nodes[(i+offset)%len(a.v.Nodes)]
-		if n.ID == a.u.Node || a.in.paths.troubled(n.ID, now) {
+		if n.ID == a.u.Node || a.in.paths.troubled(n.ID) {
 			continue
 		}
 		if n.Region == a.v.Self.Region {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"context"
 	"expvar"
 	"log/slog"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/retry"
+	"github.com/godwithub/godwithub/wire"
 )
 
 // Headers of callers' requests.
@@ -131,6 +133,45 @@
 	return l.limiter.Allow()
 }
 
+// Intervals of the test of a path in trouble.
+const (
+	pathTestInterval = 500 * time.Millisecond
+	// pathTestLimit ends the test of a path to a node that has not come back.
+	// The next failure starts it again.
+	pathTestLimit = 10 * time.Minute
+)
+
+// pathFailed notes that the path to a node failed, and tests it until it works.
+func (in *Ingress) pathFailed(node fleet.NodeID, addr string) {
+	if !in.paths.failed(node) {
+		return
+	}
+	in.log.Warn("path to node failed", "node", node, "addr", addr)
+	go func() {
+		defer in.paths.recovered(node)
+		for end := time.Now().Add(pathTestLimit); time.Now().Before(end); {
+			time.Sleep(pathTestInterval)
+			if in.ping(addr) == nil {
+				in.log.Info("path to node works again", "node", node, "addr", addr)
+				return
+			}
+		}
+	}()
+}
+
+// ping tests the path to a node over a new connection.
+func (in *Ingress) ping(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	in.cfg.Dialer.Replace(addr)
+	return link.Call(ctx, in.cfg.Dialer, addr, func(s link.Stream) error {
+		if err := s.WriteFrame(wire.FramePing, nil); err != nil {
+			return err
+		}
+		return wire.Read(s, wire.FrameDone, nil)
+	})
+}
+
 // Metrics returns the ingress's counters for expvar.
 func (in *Ingress) Metrics() *expvar.Map {
 	m := new(expvar.Map).Init()
@@ -167,7 +208,7 @@
 			Slots:         u.Slots,
 			InUse:         load.inUse,
 			Queued:        load.queued,
-			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node, now),
+			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
 			Ejected:       u.Ejected,
 			Draining:      u.State == fleet.UpstreamDraining,
 			Weight:        warmWeight(u, now),
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -125,9 +125,6 @@
 	}
 }
 
-// pathTrouble is how long a node is avoided after its path failed.
-const pathTrouble = 3 * time.Second
-
 // pathTable holds what this ingress knows of the paths to other nodes.
 type pathTable struct {
 	mu    sync.RWMutex
@@ -137,8 +134,8 @@
 type path struct {
 	// rtt is the smoothed time from sending an attempt to its acknowledgement.
 	rtt time.Duration
-	// failedAt is when the path last failed.
-	failedAt time.Time
+	// troubled says that the path failed and no test of it has succeeded since.
+	troubled bool
 }
 
 func newPathTable() *pathTable { return &pathTable{paths: map[fleet.NodeID]*path{}} }
@@ -172,14 +169,25 @@
 		p.rtt = rtt
 	}
 	p.rtt += (rtt - p.rtt) / 8
-	p.failedAt = time.Time{}
+	p.troubled = false
+}
+
+// failed records that no acknowledgement came on any direct connection. It
+// reports whether the path was not in trouble before.
+func (t *pathTable) failed(node fleet.NodeID) (first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.path(node)
+	first = !p.troubled
+	p.troubled = true
+	return first
 }
 
-// failed records that no acknowledgement came on any connection.
-func (t *pathTable) failed(node fleet.NodeID, now time.Time) {
+// recovered records that the path works again.
+func (t *pathTable) recovered(node fleet.NodeID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.path(node).failedAt = now
+	t.path(node).troubled = false
 }
 
 // path returns the entry of a node. t.mu is held.
@@ -192,12 +200,12 @@
 	return p
 }
 
-// troubled reports whether the path to a node failed a short time ago.
-func (t *pathTable) troubled(node fleet.NodeID, now time.Time) bool {
+// troubled reports whether the path to a node has failed and not recovered.
+func (t *pathTable) troubled(node fleet.NodeID) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	p := t.paths[node]
-	return p != nil && !p.failedAt.IsZero() && now.Sub(p.failedAt) < pathTrouble
+	return p != nil && p.troubled
 }
 
 // keepOnly drops paths to nodes that are not in use any more.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -25,6 +25,7 @@
 	FrameAnswer    link.FrameType = 5 // AnswerHead
 	FrameAnswerEnd link.FrameType = 6 // AnswerEnd
 	FrameRelay     link.FrameType = 7 // RelayHead; then an attempt to pass on
+	FramePing      link.FrameType = 8 // test of a path, answered by FrameDone; empty
 
 	// Configuration.
 	FrameConfigWatch link.FrameType = 16 // ConfigWatch
