admission: control the threshold by queue pressure

Cause: the threshold moved by the share of refusals, which is noisy with few offers and counts retries, which are meant to lose. It overshot, so that a rank was refused at ingresses while its queue was empty. Change: a proportional-integral control of the admitted share on the estimated wait as a part of the longest admitted one, first attempts only.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -127,20 +127,24 @@
 		panic(fmt.Sprintf("admission: ticket %d is queued already", t.ID))
 	}
 	r := q.rank(t.Level)
-	r.shed.offered(now)
 	e := q.newEntry(r, t)
-	slack := t.Deadline.Sub(now) - e.cost
-	if slack < 0 || float64(q.wait(now, r, e)) > waitFraction*float64(slack) {
-		r.shed.refused(now)
+	pressure := q.pressure(now, e)
+	if pressure > 1 {
+		pressure = refusedPressure
+	}
+	if !t.extra() {
+		r.shed.offered(now, pressure)
+	}
+	if pressure > 1 {
 		return false, outcome.ReasonDeadline, nil
 	}
 	for len(q.entries) >= q.options.MaxLength {
 		v := q.victim(e)
 		if v == nil {
-			r.shed.refused(now)
+			q.lost(now, e)
 			return false, outcome.ReasonShed, evicted
 		}
-		v.rank.shed.refused(now)
+		q.lost(now, v)
 		q.drop(v)
 		evicted = append(evicted, v.ticket)
 	}
@@ -173,7 +177,7 @@
 	var expired []Ticket
 	for q.expiry.len() > 0 && q.expiry.min().latestStart.Before(now) {
 		e := q.expiry.min()
-		e.rank.shed.refused(now)
+		q.lost(now, e)
 		q.drop(e)
 		expired = append(expired, e.ticket)
 	}
@@ -275,6 +279,28 @@
 	r.pay(e.cost)
 }
 
+// pressure returns the estimated wait of e as a part of the longest with which
+// it is admitted.
+func (q *Queue) pressure(now time.Time, e *entry) float64 {
+	slack := e.latestStart.Sub(now)
+	if slack < 0 {
+		return refusedPressure
+	}
+	wait := q.wait(now, e.rank, e)
+	if wait == 0 {
+		return 0
+	}
+	return float64(wait) / (waitFraction * max(float64(slack), 1))
+}
+
+// lost takes in that a first attempt was refused for lack of room or expired.
+// Retries and trials are expected to lose and don't count.
+func (q *Queue) lost(now time.Time, e *entry) {
+	if !e.ticket.extra() {
+		e.rank.shed.refused(now)
+	}
+}
+
 // wait estimates how long e would queue. The rank is served at the rate that
 // the other ranks leave, but at its share at least.
 func (q *Queue) wait(now time.Time, r *rank, e *entry) time.Duration {
--- a/admission/threshold.go
+++ b/admission/threshold.go
@@ -60,41 +60,58 @@
 }
 
 const (
-	// shedInterval is how long refusals are counted before the share moves.
+	// shedInterval is how often the admitted share moves.
 	shedInterval = 100 * time.Millisecond
-	// shedMinimum is the number of offers that an interval needs. With 10, the
-	// noise of the refused part pushed the share above the true excess.
-	shedMinimum = 30
-	// Refusals at the dispatcher between shedLow and shedHigh leave the share as
-	// it is. Ingresses then leave a small excess over, so that capacity is used
-	// and the dispatcher still sees the overload; the band stops oscillation.
-	shedLow  = 0.02
-	shedHigh = 0.15
-	// shedDecay is the time constant at which the share falls.
-	shedDecay = 5 * time.Second
-	// maxRefused keeps a few callers of every rank as a measure of its load.
-	maxRefused = 0.98
-	// minRefused is a share too small to be worth applying.
-	minRefused = 0.01
+	// shedTarget is the pressure that the control aims at: a queue that is half
+	// as long as the dispatcher allows, so that the upstream stays busy and the
+	// dispatcher refuses little itself.
+	shedTarget = 0.5
+	// The gains apply to the logarithm of the admitted share, per interval.
+	// shedGain is slow because an ingress hears of a new threshold only with its
+	// next response, about a second later when it sends little. shedRise is for
+	// pressure above 1, when the dispatcher refuses work: then responses are
+	// frequent. shedFall is for a rank that waits for work: without it, work is
+	// refused for a quarter of a minute after an overload. shedDamping answers
+	// to changes of the pressure.
+	shedGain    = 0.02
+	shedRise    = 0.1
+	shedFall    = 0.5
+	shedDamping = 0.2
+	// idlePressure is the pressure below which a rank waits for work.
+	idlePressure = 0.2
+	// refusedPressure is the pressure that a refusal counts as.
+	refusedPressure = 2.0
+	// minAdmitted keeps a few callers of every rank as a measure of its load.
+	minAdmitted = 1 - maxRefused
+	maxRefused  = 0.98
+	// maxIntervals bounds the intervals that are made up for after a quiet time.
+	maxIntervals = 50
 )
 
-// shedding measures how much of a rank the dispatcher refuses and derives the
-// part that ingresses should refuse.
+// shedding derives the part of a rank that ingresses should refuse from the
+// pressure on it: the estimated wait of offered first attempts as a part of the
+// longest wait with which they are admitted. It is a proportional-integral
+// control as in active queue management.
 type shedding struct {
-	value    float64
+	value    float64 // refused part; the zero value refuses nothing
 	since    time.Time
+	sum      float64
 	offers   int
-	refusals int
+	pressure float64 // of the last interval
 }
 
-func (s *shedding) offered(now time.Time) {
+// offered takes in the pressure at which a ticket was offered.
+func (s *shedding) offered(now time.Time, pressure float64) {
 	s.update(now)
+	s.sum += min(pressure, refusedPressure)
 	s.offers++
 }
 
+// refused takes in that an admitted ticket expired or gave way to another.
 func (s *shedding) refused(now time.Time) {
 	s.update(now)
-	s.refusals++
+	s.sum += refusedPressure
+	s.offers++
 }
 
 func (s *shedding) share(now time.Time) float64 {
@@ -102,30 +119,23 @@
 	return s.value
 }
 
-// update moves the share at the end of each interval: up at once to the part
-// that leaves refusals in the band, down slowly.
+// update moves the share at the end of each interval.
 func (s *shedding) update(now time.Time) {
 	if s.since.IsZero() {
 		s.since = now
 		return
 	}
-	elapsed := now.Sub(s.since)
-	if elapsed < shedInterval || s.offers < shedMinimum && elapsed < shedDecay {
+	intervals := int(now.Sub(s.since) / shedInterval)
+	if intervals < 1 {
 		return
 	}
-	rate := 0.0
+	pressure := 0.0
 	if s.offers > 0 {
-		rate = min(float64(s.refusals)/float64(s.offers), 1)
-	}
-	switch {
-	case rate > shedHigh:
-		passed := (1 - s.value) * (1 - rate) / (1 - shedHigh)
-		s.value = min(1-passed, maxRefused)
-	case rate < shedLow:
-		s.value *= math.Exp(-elapsed.Seconds() / shedDecay.Seconds())
-		if s.value < minRefused {
-			s.value = 0
-		}
+		pressure = s.sum / float64(s.offers)
 	}
-	s.since, s.offers, s.refusals = now, 0, 0
+	change := shedGain*(pressure-shedTarget) + shedRise*max(pressure-1, 0) - shedFall*max(idlePressure-pressure, 0)
+	change = change*float64(min(intervals, maxIntervals)) + shedDamping*(pressure-s.pressure)
+	admitted := (1 - s.value) * math.Exp(-change)
+	s.value = 1 - min(max(admitted, minAdmitted), 1)
+	s.pressure, s.since, s.sum, s.offers = pressure, now, 0, 0
 }
