trials: measure one method alone

Cause: a change to one policy needs only its own rows. Change: the method flag. Measured: not measured.

--- a/cmd/godwithub-trials/main.go
+++ b/cmd/godwithub-trials/main.go
@@ -16,6 +16,7 @@
 	Seeds      int    `flag:"seeds" usage:"number of seeds, from 1" range:"1 to 100" validate:"min=1,max=100"`
 	Parallel   int    `flag:"parallel" usage:"runs at a time" range:"1 to 64" validate:"min=1,max=64"`
 	Deployment string `flag:"deployment" usage:"only deployments whose name contains this"`
+	Method     string `flag:"method" usage:"only this method: sequential, consecutive or windows" validate:"omitempty,oneof=sequential consecutive windows"`
 	Only       string `flag:"only" usage:"only this table: detection, false, quiet, overload, attempts or cost"`
 }
 
@@ -39,7 +40,7 @@
 }
 
 func run(o *options) error {
-	c := trials.Config{Parallel: o.Parallel}
+	c := trials.Config{Parallel: o.Parallel, Method: o.Method}
 	for seed := range o.Seeds {
 		c.Seeds = append(c.Seeds, uint64(seed+1))
 	}
--- a/internal/trials/quiet.go
+++ b/internal/trials/quiet.go
@@ -18,7 +18,7 @@
 func QuietAlarms(c Config, d *Deployment) Table {
 	t := Table{Header: []string{"method", "upstream-days in all", "ejections in all", "suspicions in all", "ejections per upstream-day"}}
 	days := float64(d.Workers) * quietTime.Hours() / 24 * float64(len(c.Seeds))
-	for _, m := range Methods {
+	for _, m := range c.methods() {
 		all := alarms{}
 		for _, a := range each(c, func(seed uint64) alarms { return quiet(d, m, seed) }) {
 			all.ejections += a.ejections
--- a/internal/trials/scenarios.go
+++ b/internal/trials/scenarios.go
@@ -54,6 +54,14 @@
 type Config struct {
 	Seeds    []uint64
 	Parallel int
+	Method   string // only this one of Methods; empty: all
+}
+
+func (c *Config) methods() []string {
+	if c.Method != "" {
+		return []string{c.Method}
+	}
+	return Methods
 }
 
 // each runs one function for all seeds, a few at a time, and returns the
@@ -89,7 +97,7 @@
 	t := Table{Header: []string{"fault", "method", "suspected s", "ejected s", "wrong ejections", "requests harmed %", "work at it, % of that without a method"}}
 	for _, sc := range detections {
 		var base []found
-		for _, m := range append([]string{""}, Methods...) {
+		for _, m := range append([]string{""}, c.methods()...) {
 			results := each(c, func(seed uint64) found { return detect(d, sc, m, seed) })
 			if m == "" {
 				base = results
@@ -173,7 +181,7 @@
 	for _, name := range names {
 		tr := *traces[name]
 		tr.Duration, tr.Noise = healthyTime, true
-		for _, m := range Methods {
+		for _, m := range c.methods() {
 			type count struct{ ejections, suspicions int }
 			results := each(c, func(seed uint64) count {
 				s := newSim(d, &tr, m, seed)
