balance: leave suspects a part of their usual work

Change: idempotent work below the most urgent rank goes to suspects at a quarter of their usual share.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,6 +58,10 @@
 	// trialShare is the part of eligible requests that is sent to an upstream
 	// under trial.
 	trialShare = 0.05
+	// suspectShare is the part of its usual work that a suspect still gets from
+	// idempotent work below the most urgent rank. Without it the evidence that
+	// would eject or clear the suspect stops.
+	suspectShare = 0.25
 	// suspectPenalty is added to the load of a suspect when all upstreams are
 	// full, so that one that fails fast does not attract the excess.
 	suspectPenalty = 1.0
@@ -90,6 +94,9 @@
 	if i, ok := pickTrial(r, &req, candidates, tiers[tierTrial]); ok {
 		return i, true
 	}
+	if i, ok := pickSuspect(r, &req, candidates, tiers[tierHome], tiers[tierSuspect]); ok {
+		return i, true
+	}
 	for _, indexes := range tiers {
 		if len(indexes) == 0 {
 			continue
@@ -136,6 +143,25 @@
 	return i, c.InUse+c.Queued == 0
 }
 
+// pickSuspect sends a part of the work that a suspect would get if it were
+// healthy.
+func pickSuspect(r *rand.Rand, req *Request, candidates []Candidate, healthy, suspects []int) (int, bool) {
+	if len(suspects) == 0 || !req.Idempotent || req.Level == 0 {
+		return 0, false
+	}
+	suspect, total := 0.0, 0.0
+	for _, i := range suspects {
+		suspect += capacity(&candidates[i])
+	}
+	for _, i := range healthy {
+		total += capacity(&candidates[i])
+	}
+	if r.Float64() >= suspectShare*suspect/(suspect+total) {
+		return 0, false
+	}
+	return draw(r, candidates, suspects, suspect), true
+}
+
 // preferred returns the candidate that ranks highest for the key by rendezvous
 // hashing, so that the order changes little when upstreams come and go.
 func preferred(key string, candidates []Candidate, indexes []int) int {
