gossip: repair missed changes by comparing table hashes

Cause: on real sockets, 10 nodes that started together took 19 s until all knew all, and 4 of 30 nodes had not learned of a drain after 10 s. Pushes counted towards the retransmission limit of 7, and copies that came in ended the rest of it; who was missed then waited for the periodic exchange. Change: the limit counts sends on probes and answers only. Probes carry a hash of the sender's table; a node whose own table stays the same while others differ for 1.5 s makes a full exchange, every 10 s at most. A local change goes to members of different regions. Adds the measurement command, still untested at size. Traffic not measured. Conclusion: no change waits for the periodic exchange; cost follows.

--- /dev/null
+++ b/cmd/godwithub-bench-fleet/report.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+// target is the fleet's size that figures are extrapolated to.
+const target = 830
+
+// report prints the results as Markdown tables.
+func report(w io.Writer, results []result) {
+	fmt.Fprintln(w, "Per node; bytes are sent and received together, with IP and UDP headers but without TLS.")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| nodes | rest: datagrams/s sent | rest: B/s | rest: CPU, % of a core | churn: datagrams/s sent | churn: B/s | of it exchanges | of it deltas | churn: CPU, % of a core | heap and stacks, MB |")
+	fmt.Fprintln(w, "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %d | %.1f | %.0f | %.2f | %.1f | %.0f | %.0f | %.0f | %.2f | %.2f |\n", r.Nodes,
+			r.Rest.Datagrams, r.Rest.total(), 100*r.Rest.CPU,
+			r.Churn.Datagrams, r.Churn.total(), r.Churn.Exchange, 2*r.Churn.Delta, 100*r.Churn.CPU, r.HeapBytes/1e6)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "Times in ms, over all nodes and changes; joined and quiet in s.")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| nodes | configuration p50 | p99 | max | missed | drain p50 | p99 | max | missed | joined | quiet | suspicions at rest | with churn |")
+	fmt.Fprintln(w, "| ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	for _, r := range results {
+		fmt.Fprintf(w, "| %d | %s | %s | %.1f | %.0f | %d | %d |\n", r.Nodes, r.Config, r.Drain,
+			r.Joined.Seconds(), r.Quiet.Seconds(), r.Rest.FalseSuspects, r.Churn.FalseSuspects)
+	}
+	if len(results) < 3 {
+		return
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintf(w, "Least-squares fits and their values at %d nodes.\n", target)
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| figure | linear: slope per node | residual | at 830 | logarithmic: slope per doubling | residual | at 830 | bound |")
+	fmt.Fprintln(w, "| --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")
+	for _, f := range figures {
+		fits(w, results, f)
+	}
+}
+
+// String implements fmt.Stringer.
+func (t times) String() string {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	return fmt.Sprintf("%.0f | %.0f | %.0f | %d", ms(t.P50), ms(t.P99), ms(t.Max), t.Missed)
+}
+
+// figure is one value of a result with its bound at the target scale.
+type figure struct {
+	name  string
+	bound string
+	value func(result) float64
+}
+
+var figures = []figure{
+	{"B/s at rest", "10,000", func(r result) float64 { return r.Rest.total() }},
+	{"B/s with churn", "10,000", func(r result) float64 { return r.Churn.total() }},
+	{"CPU at rest, % of a core", "1.8", func(r result) float64 { return 100 * r.Rest.CPU }},
+	{"CPU with churn, % of a core", "1.8", func(r result) float64 { return 100 * r.Churn.CPU }},
+	{"heap and stacks, MB", "256", func(r result) float64 { return r.HeapBytes / 1e6 }},
+	{"configuration p99, ms", "3,000", func(r result) float64 { return 1000 * r.Config.P99.Seconds() }},
+	{"configuration max, ms", "3,000", func(r result) float64 { return 1000 * r.Config.Max.Seconds() }},
+	{"drain p99, ms", "2,000", func(r result) float64 { return 1000 * r.Drain.P99.Seconds() }},
+	{"drain max, ms", "2,000", func(r result) float64 { return 1000 * r.Drain.Max.Seconds() }},
+}
+
+func fits(w io.Writer, results []result, f figure) {
+	var n, logs, values []float64
+	for _, r := range results {
+		n = append(n, float64(r.Nodes))
+		logs = append(logs, math.Log2(float64(r.Nodes)))
+		values = append(values, f.value(r))
+	}
+	linear, logarithmic := fit(n, values), fit(logs, values)
+	fmt.Fprintf(w, "| %s | %.3g | %.3g | %.4g | %.3g | %.3g | %.4g | %s |\n", f.name,
+		linear.slope, linear.residual, linear.at(target),
+		logarithmic.slope, logarithmic.residual, logarithmic.at(math.Log2(target)), f.bound)
+}
+
+// line is a least-squares fit. residual is the root of the mean square of the
+// distances from it.
+type line struct{ intercept, slope, residual float64 }
+
+func (l line) at(x float64) float64 { return l.intercept + l.slope*x }
+
+func fit(x, y []float64) line {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx += x[i]
+		sy += y[i]
+		sxx += x[i] * x[i]
+		sxy += x[i] * y[i]
+	}
+	var l line
+	l.slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	l.intercept = (sy - l.slope*sx) / n
+	for i := range x {
+		d := y[i] - l.at(x[i])
+		l.residual += d * d
+	}
+	l.residual = math.Sqrt(l.residual / n)
+	return l
+}
--- a/gossip/apply.go
+++ b/gossip/apply.go
@@ -26,6 +26,9 @@
 		c.apply(now, r)
 	}
 	c.hear(now, src, &msg)
+	if msg.Kind == kindPing || msg.Kind == kindAck {
+		c.compareTables(now, &msg)
+	}
 	switch msg.Kind {
 	case kindPing:
 		c.send(msg.From, src, kindAck, msg.Probe, "")
--- a/gossip/config.go
+++ b/gossip/config.go
@@ -44,7 +44,7 @@
 	// domain, at the cost of a higher peak of traffic.
 	PushBurstBytes int
 	// RetransmitFactor times log2 of the fleet's size is how often a node sends
-	// one change. Default 2. More makes it less likely that a member learns of a
+	// one change on probes and answers, after its push. Default 1.5. More makes it less likely that a member learns of a
 	// change only from the next full exchange.
 	RetransmitFactor float64
 	// DeadRetention is how long dead nodes are kept. Default 1 h. During that
@@ -55,6 +55,10 @@
 	// member. Default 2 min. A shorter one repairs missed changes sooner; each
 	// costs about 20 bytes per member.
 	SyncInterval time.Duration
+	// RepairInterval is the least time between two full exchanges with members
+	// whose table differs. Default 10 s. A shorter one repairs missed changes
+	// sooner, and costs more when changes are so many that tables never agree.
+	RepairInterval time.Duration
 	// SyncTimeout bounds one full exchange. Default 10 s.
 	SyncTimeout time.Duration
 	// Seeds are the link addresses of nodes to start from, as IP:port. A node
@@ -85,9 +89,10 @@
 	setDefault(&c.PushDelay, 20*time.Millisecond)
 	setDefault(&c.PushBytesPerSecond, 4000)
 	setDefault(&c.PushBurstBytes, 64<<10)
-	setDefault(&c.RetransmitFactor, 2)
+	setDefault(&c.RetransmitFactor, 1.5)
 	setDefault(&c.DeadRetention, time.Hour)
 	setDefault(&c.SyncInterval, 2*time.Minute)
+	setDefault(&c.RepairInterval, 10*time.Second)
 	setDefault(&c.SyncTimeout, 10*time.Second)
 }
 
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -49,6 +49,7 @@
 	// views of order, valid unless stale
 	local, remote, dead []*member
 	stale               bool
+	table               tableState
 	// joining is true while no other live member is known.
 	joining bool
 
@@ -76,6 +77,7 @@
 		stale:    true,
 		joining:  true,
 		changed:  map[fleet.NodeID]bool{},
+		table:    tableState{dirty: map[*member]bool{}},
 		counters: n,
 	}
 	c.pushing.tokens = float64(cfg.PushBurstBytes)
@@ -259,6 +261,7 @@
 func (c *core) touch(m *member) {
 	c.changed[m.id] = true
 	c.stale = true
+	c.table.dirty[m] = true
 }
 
 // views brings local, remote and dead up to date.
@@ -323,6 +326,7 @@
 			!m.known() && now.Sub(m.created) >= placeholderRetention
 		if old {
 			c.setDeadline(m, time.Time{})
+			c.dropFromTable(m)
 			delete(c.members, m.id)
 			c.queue.removeIf(func(p part) bool { return p.node == m.id })
 		}
--- a/gossip/core_test.go
+++ b/gossip/core_test.go
@@ -181,6 +181,54 @@
 	t.Logf("known by %d nodes after %v", n, took)
 }
 
+// Guards against a drain that waits behind the announcements of a fleet that
+// starts all at once.
+func TestDrainIsKnownDuringAMassStart(t *testing.T) {
+	const n = 100
+	s := newSim(t, n, 3, 12)
+	var first fleet.Node
+	for i := range n {
+		local := localNode(i, 3)
+		for u := range 11 {
+			local.Upstreams = append(local.Upstreams, fleet.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("vm-%d-up-%d", i, u)), Service: "shop", Slots: 5})
+		}
+		s.announce(i, local)
+		if i == 0 {
+			first = local
+		}
+	}
+	s.run(5 * time.Second)
+	first.Upstreams[0].State = fleet.UpstreamDraining
+	s.announce(0, first)
+	took := s.until(2*time.Second, "all know of the drain", func() bool { return s.drainKnown(first) })
+	t.Logf("known by %d nodes after %v", n, took)
+}
+
+// Guards against a change that a node missed by chance staying unknown to it
+// until the next periodic exchange.
+func TestMissedChangeIsRepaired(t *testing.T) {
+	s := newSim(t, 10, 2, 13)
+	s.run(20 * time.Second)
+	local := localNode(0, 2)
+	local.Upstreams = []fleet.Upstream{{ID: "u", State: fleet.UpstreamDraining}}
+	s.cut = func(_, to string) bool { return to == addrOf(3) }
+	s.announce(0, local)
+	s.run(300 * time.Millisecond)
+	for _, c := range s.nodes {
+		c.queue = newQueue()
+	}
+	s.cut = func(_, _ string) bool { return false }
+	took := s.until(10*time.Second, "node 3 knows", func() bool { return s.drainKnown(local) })
+	t.Logf("repaired after %v", took)
+	// Equal tables must not cause exchanges.
+	s.run(time.Minute)
+	repairs := uint64(0)
+	for _, c := range s.nodes {
+		repairs += c.counters.Repairs.Load()
+	}
+	assert.Assert(t, repairs >= 1 && repairs <= 5, "%d repairs", repairs)
+}
+
 // Guards against a node with many upstreams that does not fit a datagram.
 func TestNodeWithElevenUpstreamsFitsADatagram(t *testing.T) {
 	s := newSim(t, 2, 1, 9)
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -19,6 +19,7 @@
 	upstreams map[fleet.UpstreamID]upstreamEntry
 	config    resource.Version
 
+	hashed    uint64 // the member's part of core.table
 	created   time.Time
 	deadSince time.Time // set while the state is dead
 	// deadline is when a silent node is declared dead. Zero unless suspected.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -28,6 +28,7 @@
 	From        fleet.NodeID
 	Incarnation uint64 // of the sender
 	Config      configVersion
+	Table       uint64       // see core.tableHash
 	Probe       uint64       // number of the probe, chosen by the one who wants the ack
 	Subject     fleet.NodeID // see messageKind; otherwise empty
 	Updates     []cbor.RawMessage
--- a/gossip/push.go
+++ b/gossip/push.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -13,6 +14,10 @@
 // another region.
 const remotePushOdds = 4
 
+// regionSample is how many candidates are looked at for each member of another
+// region. With three regions, three of four pairs are then of both others.
+const regionSample = 4
+
 // pushing is the state of pushes.
 type pushing struct {
 	at       time.Time // next push; zero if none is due
@@ -48,7 +53,7 @@
 		}
 		targets := c.pushTargets(local)
 		b := c.newBuilder(kindPush, 0, "")
-		b.addAll(c.queue.take(b.room, true, len(targets), c.retransmitLimit()))
+		b.addAll(c.queue.takeFresh(b.room))
 		if len(b.msg.Updates) == 0 {
 			c.queue.settle(true)
 			return
@@ -76,7 +81,23 @@
 	case c.rand.IntN(remotePushOdds) == 0 || len(c.local) == 0:
 		remote = 1
 	}
-	return append(c.choose(c.local, c.cfg.Fanout, ""), c.choose(c.remote, remote, "")...)
+	return append(c.choose(c.local, c.cfg.Fanout, ""), c.chooseRegions(remote)...)
+}
+
+// chooseRegions returns up to n random members of other regions, each of
+// another region while there are enough.
+func (c *core) chooseRegions(n int) []*member {
+	candidates := c.choose(c.remote, regionSample*n, "")
+	var first, rest []*member
+	for _, m := range candidates {
+		if slices.ContainsFunc(first, func(o *member) bool { return o.meta.Region == m.meta.Region }) {
+			rest = append(rest, m)
+		} else {
+			first = append(first, m)
+		}
+	}
+	out := append(first, rest...)
+	return out[:min(n, len(out))]
 }
 
 // pushNotice tells random members at once that the node's configuration
@@ -106,6 +127,7 @@
 		From:        c.self.id,
 		Incarnation: c.self.status.Incarnation,
 		Config:      toConfigVersion(c.self.config),
+		Table:       c.tableHash(),
 		Probe:       probe,
 		Subject:     subject,
 		Updates:     []cbor.RawMessage{},
@@ -145,6 +167,6 @@
 		s := m.status
 		b.add(mustEncode(record{Node: to, Status: &s}))
 	}
-	b.addAll(c.queue.take(b.room, false, 1, c.retransmitLimit()))
+	b.addAll(c.queue.take(b.room, c.retransmitLimit()))
 	c.emit(to, addr, b)
 }
--- a/gossip/queue.go
+++ b/gossip/queue.go
@@ -35,7 +35,7 @@
 type queued struct {
 	part
 	raw   cbor.RawMessage
-	sends int
+	sends int // on probes and answers
 	order uint64
 	// urgent changes take capacity away from where others may send work.
 	urgent bool
@@ -119,25 +119,41 @@
 	return out
 }
 
-// take returns changes of room bytes at most and counts them as sent to a
-// number of receivers. Changes that were sent limit times leave the queue.
-func (q *queue) take(room int, freshOnly bool, receivers, limit int) []cbor.RawMessage {
+// takeFresh returns fresh changes of room bytes at most, to be pushed.
+func (q *queue) takeFresh(room int) []cbor.RawMessage {
 	var out []cbor.RawMessage
-	for _, it := range q.sorted(freshOnly) {
-		if len(it.raw) > room || len(out) == maxUpdates {
-			continue
-		}
-		room -= len(it.raw)
+	for _, it := range fitting(q.sorted(true), room) {
 		out = append(out, it.raw)
-		it.sends += receivers
 		q.unfresh(it)
-		if it.sends >= limit {
+	}
+	return out
+}
+
+// take returns changes of room bytes at most and counts them as sent. Changes
+// that were sent limit times leave the queue.
+func (q *queue) take(room, limit int) []cbor.RawMessage {
+	var out []cbor.RawMessage
+	for _, it := range fitting(q.sorted(false), room) {
+		out = append(out, it.raw)
+		if it.sends++; it.sends >= limit {
 			q.remove(it.part)
 		}
 	}
 	return out
 }
 
+// fitting returns those of list that fit a datagram with room bytes left.
+func fitting(list []*queued, room int) []*queued {
+	out := list[:0]
+	for _, it := range list {
+		if len(it.raw) <= room && len(out) < maxUpdates-1 {
+			room -= len(it.raw)
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
 // hasFresh reports whether a change waits for its push.
 func (q *queue) hasFresh() bool { return q.fresh > 0 }
 
--- a/gossip/sim_test.go
+++ b/gossip/sim_test.go
@@ -174,6 +174,9 @@
 		s.now = later(s.now, at)
 		due.tick(s.now)
 		s.collect(due)
+		if addr, ok := due.repairPartner(s.now); ok {
+			s.exchange(indexOf(due.self.meta.GossipAddr), indexOf(addr))
+		}
 	}
 }
 
--- a/gossip/stats.go
+++ b/gossip/stats.go
@@ -12,7 +12,7 @@
 	Corrupt, Replayed, Malformed, SendErrors                   atomic.Uint64
 	Probes, FailedProbes, Relayed                              atomic.Uint64
 	Suspicions, Refutations, Deaths                            atomic.Uint64
-	PushesLimited, Refused                                     atomic.Uint64
+	PushesLimited, Refused, Repairs                            atomic.Uint64
 	Exchanges, ExchangesServed, ExchangesFailed, ExchangeBytes atomic.Uint64
 }
 
@@ -48,6 +48,8 @@
 	ExchangesServed uint64 `json:"exchangesServed"`
 	ExchangesFailed uint64 `json:"exchangesFailed"`
 	ExchangeBytes   uint64 `json:"exchangeBytes"`
+	// Repairs counts the exchanges made because a member's table differed.
+	Repairs uint64 `json:"repairs"`
 
 	// Members by state, the own node included, and changes still being sent.
 	Alive   int  `json:"alive"`
@@ -67,7 +69,7 @@
 		Corrupt: n.Corrupt.Load(), Replayed: n.Replayed.Load(), Malformed: n.Malformed.Load(),
 		SendErrors: n.SendErrors.Load(), Probes: n.Probes.Load(), FailedProbes: n.FailedProbes.Load(),
 		Relayed: n.Relayed.Load(), Suspicions: n.Suspicions.Load(), Refutations: n.Refutations.Load(),
-		Deaths: n.Deaths.Load(), PushesLimited: n.PushesLimited.Load(), Refused: n.Refused.Load(),
+		Deaths: n.Deaths.Load(), PushesLimited: n.PushesLimited.Load(), Refused: n.Refused.Load(), Repairs: n.Repairs.Load(),
 		Exchanges: n.Exchanges.Load(), ExchangesServed: n.ExchangesServed.Load(),
 		ExchangesFailed: n.ExchangesFailed.Load(), ExchangeBytes: n.ExchangeBytes.Load(),
 	}
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -248,14 +248,14 @@
 	}
 }
 
-// partner returns whom to exchange with, if an exchange is due or the node
-// knows no live member.
+// partner returns whom to exchange with, if an exchange is due, the node knows
+// no live member, or a member's table differs.
 func (g *Gossip) partner(due bool) (addr string, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.core.views()
 	if !due && !g.core.joining {
-		return "", false
+		return g.core.repairPartner(time.Now())
 	}
 	seed := g.core.joining && rand.IntN(2) == 0 || rand.IntN(seedOdds) == 0
 	if addr, ok = g.core.exchangePartner(); ok && !seed {
