Claims and ejection permits from replicated groups

Cause: orders with a key could not be served, since nothing held their claims, and sick upstreams were avoided but never ejected. Change: control places idempotency groups on nodes (package placement) and gives each service one; nodes run the replicas, dispatchers claim keys while the request is on its way, ingresses fence attempts whose dispatcher was lost, and the board registers upstreams with the ledger, asks for permits and runs trials. A refused connection marks the path at once: in scenario i4_kill_dispatcher 74 of 834 requests ended 'path-down' since the dead node went on being chosen.

--- a/board/board.go
+++ b/board/board.go
@@ -45,6 +45,7 @@
 			Nodes:    map[fleet.NodeID]fleet.Node{},
 			Local:    map[fleet.UpstreamID]*LocalUpstream{},
 			Evidence: newEvidence(),
+			Ledgers:  newLedgers(),
 			changed:  map[string]bool{},
 		},
 	}
--- a/board/controllers.go
+++ b/board/controllers.go
@@ -5,12 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/godwithub/godwithub/ejection"
 	"github.com/godwithub/godwithub/fleet"
 )
 
 // Controllers returns the controllers of a node in the order in which they run.
 func Controllers() []Controller {
-	return []Controller{followConfig, followNodes, keepLeases, weighEvidence, leave, publishSelf}
+	return []Controller{followConfig, followNodes, keepLeases, weighEvidence, keepLedgers, leave, publishSelf}
 }
 
 // followConfig puts newer configurations in force.
@@ -119,9 +120,10 @@
 			Service:   u.Service,
 			Slots:     u.Slots,
 			State:     u.State(now),
-			WarmUntil: u.WarmUntil(),
-			Suspect:   u.Suspect,
-			Ejected:   u.Ejected,
+			WarmUntil: u.WarmUntil(now),
+			Suspect:   u.Suspect || u.ejected(),
+			Ejected:   u.ejected() && !u.ledgerSilent(now),
+			Trial:     u.Ledger.State == ejection.OnTrial,
 		})
 	}
 	slices.SortFunc(list, func(a, b fleet.Upstream) int { return cmp.Compare(a.ID, b.ID) })
--- a/board/evidence.go
+++ b/board/evidence.go
@@ -15,6 +15,8 @@
 // summaries of services that this node aggregates.
 type Evidence struct {
 	detectors map[fleet.UpstreamID]*health.Detector
+	// baselines holds the latest baseline of each upstream.
+	baselines map[fleet.UpstreamID]health.Baseline
 	pools     map[string]*pool
 	nextClose time.Time
 }
@@ -29,7 +31,11 @@
 const poolIdle = 10 * time.Second
 
 func newEvidence() Evidence {
-	return Evidence{detectors: map[fleet.UpstreamID]*health.Detector{}, pools: map[string]*pool{}}
+	return Evidence{
+		detectors: map[fleet.UpstreamID]*health.Detector{},
+		baselines: map[fleet.UpstreamID]health.Baseline{},
+		pools:     map[string]*pool{},
+	}
 }
 
 // Observed brings a batch of attempts at upstreams of this VM.
@@ -87,6 +93,7 @@
 		for _, a := range e.Attempts {
 			if d := s.detector(a.Upstream); d != nil {
 				d.Observe(a.At, a.Kind, a.Result, a.Latency)
+				s.observeTrial(a, now)
 			}
 		}
 		s.readVerdicts(now)
@@ -94,8 +101,8 @@
 		e.Reply(s.pooled(e.Service, e.Summaries, now))
 	case BaselinesReceived:
 		for i, id := range e.Upstreams {
-			if d := ev.detectors[id]; d != nil && i < len(e.Baselines) {
-				d.Update(e.Baselines[i])
+			if i < len(e.Baselines) {
+				s.takeBaseline(id, e.Baselines[i])
 			}
 		}
 		s.readVerdicts(now)
@@ -110,6 +117,13 @@
 	}
 }
 
+func (s *State) takeBaseline(id fleet.UpstreamID, b health.Baseline) {
+	if d := s.Evidence.detectors[id]; d != nil {
+		d.Update(b)
+		s.Evidence.baselines[id] = b
+	}
+}
+
 // detector returns the detector of an upstream of this VM, or nil.
 func (s *State) detector(id fleet.UpstreamID) *health.Detector {
 	if s.Local[id] == nil {
@@ -128,6 +142,9 @@
 	maps.DeleteFunc(s.Evidence.detectors, func(id fleet.UpstreamID, _ *health.Detector) bool {
 		return s.Local[id] == nil
 	})
+	maps.DeleteFunc(s.Evidence.baselines, func(id fleet.UpstreamID, _ health.Baseline) bool {
+		return s.Local[id] == nil
+	})
 	maps.DeleteFunc(s.Evidence.pools, func(_ string, p *pool) bool {
 		return now.Sub(p.lastUsed) > poolIdle
 	})
@@ -148,7 +165,7 @@
 			continue
 		}
 		for i, b := range s.pooled(service, summaries, now) {
-			s.Evidence.detectors[summaries[i].Upstream].Update(b)
+			s.takeBaseline(summaries[i].Upstream, b)
 		}
 	}
 }
--- a/board/state.go
+++ b/board/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/ejection"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/resource"
@@ -24,6 +25,8 @@
 	Local map[fleet.UpstreamID]*LocalUpstream
 	// Evidence judges the upstreams of this VM.
 	Evidence Evidence
+	// Ledgers holds what is asked of the groups' ledgers.
+	Ledgers Ledgers
 
 	// changed collects the services whose upstreams changed since the last
 	// publication.
@@ -38,9 +41,15 @@
 	FirstSeen time.Time
 	LeaseEnds time.Time
 	Suspect   bool
-	Ejected   bool
 	// Verdict is the latest judgement of its work.
 	Verdict health.Verdict
+	// Ledger is its state in the ledger of its service's group.
+	Ledger ejection.Status
+	// ledgerAt is when Ledger was last confirmed.
+	ledgerAt time.Time
+	// askedAt is when its ejection was last asked for.
+	askedAt time.Time
+	trial   *health.Trial
 }
 
 // State returns what the fleet is told of the upstream at now.
@@ -48,15 +57,26 @@
 	switch {
 	case u.Draining:
 		return fleet.UpstreamDraining
-	case now.Before(u.WarmUntil()):
+	case now.Before(u.WarmUntil(now)):
 		return fleet.UpstreamWarming
 	default:
 		return fleet.UpstreamReady
 	}
 }
 
-// WarmUntil returns the end of its cold start.
-func (u *LocalUpstream) WarmUntil() time.Time { return u.FirstSeen.Add(u.WarmUp()) }
+// WarmUntil returns the end of its cold start, or of its slow start after an
+// ejection.
+func (u *LocalUpstream) WarmUntil(now time.Time) time.Time {
+	end := u.FirstSeen.Add(u.WarmUp())
+	if u.Ledger.State == ejection.SlowStart {
+		slow := u.ledgerAt.Add(time.Duration(u.Ledger.RemainingMs) * time.Millisecond)
+		if slow.After(now) && slow.After(end) {
+			// Rounded, so that each confirmation does not change the entry.
+			return slow.Round(time.Second)
+		}
+	}
+	return end
+}
 
 // TouchService marks a service's upstreams as changed.
 func (s *State) TouchService(service string) { s.changed[service] = true }
--- a/board/view.go
+++ b/board/view.go
@@ -31,6 +31,15 @@
 	FailureDomain string
 }
 
+// Node returns the usable node called id, other than Self.
+func (v *View) Node(id fleet.NodeID) (*fleet.Node, bool) {
+	i, ok := slices.BinarySearchFunc(v.Nodes, id, func(n fleet.Node, id fleet.NodeID) int { return cmp.Compare(n.ID, id) })
+	if !ok {
+		return nil, false
+	}
+	return &v.Nodes[i], true
+}
+
 // Warming reports whether the upstream is in its cold start at now.
 func (u *Upstream) Warming(now time.Time) bool { return now.Before(u.WarmUntil) }
 
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -55,6 +55,8 @@
 	// Register adds handlers to the mux, such as that of
 	// wire.FrameConfigWatch. May be nil.
 	Register func(Parts) error
+	// Background runs beside the servers until its context ends. May be nil.
+	Background func(context.Context, Parts, control.Replicator)
 	// Reached tells which versions are in force at the nodes. May be nil.
 	Reached server.ReachedSource
 	// Members changes the members of the control group. May be nil.
@@ -178,6 +180,9 @@
 	if d.options.Holder != nil {
 		g.Go(func() error { control.Feed(run, d.parts.Machine, d.options.Holder, d.log); return nil })
 	}
+	if d.options.Background != nil {
+		g.Go(func() error { d.options.Background(run, d.parts, d.replication); return nil })
+	}
 	d.log.Info("member is up", "node", d.set.NodeID, "api", d.apiLn.Addr().String(), "link", listener.Addr(),
 		"version", d.parts.Machine.Version().String())
 	select {
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/server"
 	"github.com/godwithub/godwithub/distribute"
 	"github.com/godwithub/godwithub/fleet"
@@ -31,9 +32,10 @@
 func NewFleet() (*Fleet, Options) {
 	f := &Fleet{holder: distribute.NewHolder(), stopped: make(chan struct{})}
 	return f, Options{
-		Holder:   f.holder,
-		Register: f.register,
-		Reached:  server.MemberSource(f.nodes),
+		Holder:     f.holder,
+		Register:   f.register,
+		Reached:    server.MemberSource(f.nodes),
+		Background: f.place,
 	}
 }
 
@@ -45,6 +47,12 @@
 	return fleet.NodesOnly(f.gossip.Members())
 }
 
+// place keeps idempotency groups placed on the nodes.
+func (f *Fleet) place(ctx context.Context, p Parts, r control.Replicator) {
+	pl := &placer{id: p.Settings.NodeID, machine: p.Machine, replicator: r, nodes: f.nodes, log: p.Log}
+	pl.run(ctx)
+}
+
 func (f *Fleet) register(p Parts) error {
 	host, _, err := net.SplitHostPort(p.Settings.LinkAddr)
 	if err != nil {
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -5,87 +5,54 @@
 	"sync"
 	"time"
 
+	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
 
-// Claims holds idempotency keys. Its calls end with ctx.
-type Claims interface {
-	// Claim asks for the right to run the request under key in this attempt.
-	Claim(ctx context.Context, group, key, attempt string, expires time.Time) (ClaimResult, error)
-	// Finish records how the attempt ended. A NotRun outcome frees the key.
-	Finish(ctx context.Context, group, key, attempt string, r Record) error
-}
-
-// ClaimResult is the answer to a claim.
-type ClaimResult struct {
-	// Granted says that this attempt, and no other, may run the request.
-	Granted bool
-	// Ended is how the request ended if not granted: Answered with a record,
-	// NotRun if fenced, or Unknown.
-	Ended outcome.Ended
-	// Record is set if the request has run and its answer was kept.
-	Record *Record
-}
-
-// Record is what is kept of a request that has run.
-type Record struct {
-	Ended outcome.Ended    `cbor:"1,keyasint"`
-	Head  *wire.AnswerHead `cbor:"2,keyasint,omitempty"`
-	Body  []byte           `cbor:"3,keyasint,omitempty"`
-	// BodyGone says that the answer was too large to keep.
-	BodyGone bool `cbor:"4,keyasint,omitempty"`
-}
-
 const (
-	// MaxRecordBody is the largest body kept in a record, in bytes.
-	MaxRecordBody = 16 << 10
-	// claimRetention is how long a key is remembered.
-	claimRetention = 24 * time.Hour
+	// claimGrace is how much longer than its deadline an attempt may hold its
+	// claim, to record its outcome. After that the claim counts as abandoned.
+	claimGrace = 10 * time.Second
 	// finishTimeout bounds the recording of an outcome, which goes on after
 	// the answer has been passed to the caller.
 	finishTimeout = 5 * time.Second
 )
 
-func (r *Record) write(w *answerWriter) {
-	h := *r.Head
-	h.RequestID = w.requestID
-	w.head(&h)
-	w.last(r.Body)
-}
-
 // claim is the claim of one attempt on its key. A nil claim stands for a
 // request that needs none.
 type claim struct {
-	d          *Dispatcher
-	group, key string
-	attempt    string
-	result     chan claimAnswer
-	once       sync.Once
+	d       *Dispatcher
+	key     idempotency.Key
+	attempt idempotency.AttemptID
+	result  chan claimAnswer
+	once    sync.Once
 }
 
 type claimAnswer struct {
-	result ClaimResult
+	result idempotency.ClaimResult
 	err    error
 }
 
+// KeyOf returns the key that an attempt has to claim.
+func KeyOf(head *wire.AttemptHead) idempotency.Key {
+	return idempotency.Key{Service: head.Service, Kind: head.Kind, Caller: head.Caller, Value: head.Key}
+}
+
 // beginClaim asks for the claim while the rest of the request is on its way.
 // It returns nil if the request needs no claim.
 func (d *Dispatcher) beginClaim(a *attempt, head *wire.AttemptHead) *claim {
 	if head.Idempotent || head.Key == "" {
 		return nil
 	}
-	c := &claim{d: d, key: head.Key, attempt: head.AttemptID, result: make(chan claimAnswer, 1)}
-	if conf := d.cfg.Configuration(); conf != nil && conf.Services[head.Service] != nil {
-		c.group = conf.Services[head.Service].Group
-	}
-	if d.cfg.Claims == nil || c.group == "" {
-		c.result <- claimAnswer{result: ClaimResult{Ended: outcome.HasNotRun(outcome.ReasonClaimFailed)}}
-		c.group = ""
+	c := &claim{d: d, key: KeyOf(head), attempt: idempotency.AttemptID(head.AttemptID), result: make(chan claimAnswer, 1)}
+	if d.cfg.Claims == nil {
+		c.result <- claimAnswer{err: idempotency.ErrNoGroup}
 		return c
 	}
+	deadline, _ := a.ctx.Deadline()
 	go func() {
-		r, err := d.cfg.Claims.Claim(a.ctx, c.group, c.key, c.attempt, time.Now().Add(claimRetention))
+		r, err := d.cfg.Claims.Claim(a.ctx, c.key, c.attempt, deadline.Add(claimGrace))
 		c.result <- claimAnswer{r, err}
 	}()
 	return c
@@ -93,7 +60,7 @@
 
 // wait returns true once the claim is granted. Otherwise it returns how the
 // attempt ended, with the record of an earlier run if there is one.
-func (c *claim) wait(ctx context.Context) (*Record, outcome.Ended, bool) {
+func (c *claim) wait(ctx context.Context) (*idempotency.Record, outcome.Ended, bool) {
 	if c == nil {
 		return nil, outcome.Ended{}, true
 	}
@@ -110,23 +77,24 @@
 		// The claim may have been granted although its answer was lost.
 		c.release()
 		return nil, outcome.HasNotRun(outcome.ReasonClaimFailed), false
-	case r.Granted:
+	case r.Status == idempotency.StatusGranted:
 		return nil, outcome.Ended{}, true
-	case r.Record != nil && r.Record.Head != nil && !r.Record.BodyGone:
-		return r.Record, r.Ended, false
+	case r.Status == idempotency.StatusFinished && r.Ended().Outcome == outcome.Answered:
+		return r.Record, r.Ended(), false
 	default:
-		return nil, r.Ended, false
+		return nil, r.Ended(), false
 	}
 }
 
 // abandon frees the key if it was or will be granted. The attempt has not run.
 func (c *claim) abandon() {
-	if c == nil || c.group == "" {
+	if c == nil {
 		return
 	}
 	c.once.Do(func() {
 		go func() {
-			if answer := <-c.result; answer.err != nil || answer.result.Granted {
+			answer := <-c.result
+			if answer.err != nil || answer.result.Status == idempotency.StatusGranted {
 				c.release()
 			}
 		}()
@@ -134,7 +102,7 @@
 }
 
 func (c *claim) release() {
-	go c.record(Record{Ended: outcome.HasNotRun(outcome.ReasonCanceled)})
+	go c.record(idempotency.Record{Outcome: outcome.NotRun, Reason: outcome.ReasonCanceled})
 }
 
 // finish records how a claimed attempt ended.
@@ -142,23 +110,34 @@
 	if c == nil {
 		return
 	}
-	r := Record{Ended: e}
-	a.mu.Lock()
+	r := idempotency.Record{Outcome: e.Outcome, Reason: e.Reason}
 	if e.Outcome == outcome.Answered {
-		r.Head, r.Body = a.head, a.body
-		r.BodyGone = a.bodyGone || len(a.body) > MaxRecordBody
+		a.mu.Lock()
+		r.Status, r.Headers, r.Body, r.AnswerGone = a.head.Status, a.head.Headers, a.body, a.bodyGone
+		a.mu.Unlock()
 	}
-	a.mu.Unlock()
-	if r.BodyGone {
-		r.Body = nil
+	if len(r.Body) > idempotency.MaxAnswer {
+		r.AnswerGone = true
+	}
+	if r.AnswerGone {
+		r.Headers, r.Body = nil, nil
 	}
 	go c.record(r)
 }
 
-func (c *claim) record(r Record) {
+func (c *claim) record(r idempotency.Record) {
+	if c.d.cfg.Claims == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
-	if err := c.d.cfg.Claims.Finish(ctx, c.group, c.key, c.attempt, r); err != nil {
-		c.d.log.Warn("outcome of a claimed request not recorded", "attempt", c.attempt, "fault", err)
+	if err := c.d.cfg.Claims.Finish(ctx, c.key, c.attempt, r); err != nil {
+		c.d.log.Debug("outcome of a claimed request not recorded", "attempt", c.attempt, "fault", err)
 	}
 }
+
+// writeRecord answers with the record of an earlier run.
+func (w *answerWriter) writeRecord(r *idempotency.Record) {
+	w.head(&wire.AnswerHead{RequestID: w.requestID, Status: r.Status, Headers: r.Headers, BodyBytes: int64(len(r.Body))})
+	w.last(r.Body)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
@@ -27,7 +28,7 @@
 	// Observe takes evidence on upstreams. It must not block.
 	Observe func(Observation)
 	// Claims holds idempotency keys. Nil: requests that need a claim are refused.
-	Claims Claims
+	Claims idempotency.Claims
 	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
 	Crashes Crashes
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -69,7 +69,7 @@
 	if replay, e, ok := c.wait(a.ctx); !ok {
 		u.release(ticket, 0)
 		if replay != nil {
-			replay.write(w)
+			w.writeRecord(replay)
 		}
 		return ended(u, e)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,6 +59,8 @@
 	Suspect bool `cbor:"6,keyasint,omitempty" json:"suspect,omitempty"`
 	// Ejected says that the service's group has granted its ejection.
 	Ejected bool `cbor:"7,keyasint,omitempty" json:"ejected,omitempty"`
+	// Trial says that it is tested after an ejection and gets a little work.
+	Trial bool `cbor:"8,keyasint,omitempty" json:"trial,omitempty"`
 }
 
 // Node is one node as membership knows it.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -101,10 +101,11 @@
 	WarmUntil int64 // Unix time in ms, 0 for none
 	Suspect   bool
 	Ejected   bool
+	Trial     bool
 }
 
 func (e upstreamEntry) upstream() fleet.Upstream {
-	u := fleet.Upstream{ID: e.ID, Service: e.Service, Slots: e.Slots, State: e.State, Suspect: e.Suspect, Ejected: e.Ejected}
+	u := fleet.Upstream{ID: e.ID, Service: e.Service, Slots: e.Slots, State: e.State, Suspect: e.Suspect, Ejected: e.Ejected, Trial: e.Trial}
 	if e.WarmUntil != 0 {
 		u.WarmUntil = time.UnixMilli(e.WarmUntil)
 	}
@@ -114,7 +115,7 @@
 func toEntry(u fleet.Upstream, number uint64) upstreamEntry {
 	e := upstreamEntry{
 		Number: number, ID: u.ID, Service: u.Service, Slots: u.Slots, State: u.State,
-		Suspect: u.Suspect, Ejected: u.Ejected,
+		Suspect: u.Suspect, Ejected: u.Ejected, Trial: u.Trial,
 	}
 	if !u.WarmUntil.IsZero() {
 		e.WarmUntil = u.WarmUntil.UnixMilli()
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -80,7 +80,10 @@
 			return outcome.MayHaveRun(outcome.ReasonShortAnswer), nil
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) && r != routeRelay {
-			break // the process is gone, so no other route leads to it
+			// The process is gone, so no other route leads to it. Others are
+			// preferred until it is back or membership has noticed.
+			a.in.pathFailed(a.u.Node, a.u.LinkAddr)
+			break
 		}
 		switch r {
 		case routeDirect:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/godwithub/godwithub/balance"
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
@@ -34,7 +35,7 @@
 	HeaderReason    = "Godwithub-Reason"
 )
 
-// Config holds what an Ingress needs. All fields are required but Budget.
+// Config holds what an Ingress needs. All fields are required but CrossRegion, Record and Claims.
 type Config struct {
 	Log    *slog.Logger
 	View   func() *board.View
@@ -44,8 +45,8 @@
 	CrossRegion func(level int, answerBytes int64) bool
 	// Record takes the end of each request, for reports. It must not block.
 	Record func(Finished)
-	// Fence keeps an attempt whose dispatcher was lost from running. Nil: none.
-	Fence Fence
+	// Claims fences attempts whose dispatcher was lost. Nil: none are.
+	Claims idempotency.Claims
 }
 
 // Ingress is the HTTP handler for callers. It is safe for concurrent use.
@@ -210,6 +211,7 @@
 			Queued:        load.queued,
 			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
 			Ejected:       u.Ejected,
+			Trial:         u.Trial,
 			Draining:      u.State == fleet.UpstreamDraining,
 			Weight:        warmWeight(u, now),
 		}
--- /dev/null
+++ b/node/groups.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/replica"
+	"github.com/godwithub/godwithub/ejection"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/idempotency"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// ledgerTimeout bounds one command to a ledger.
+const ledgerTimeout = 2 * time.Second
+
+// groups is this node's part in idempotency groups: the replicas that it holds,
+// and the client for claims and ledgers of any group.
+type groups struct {
+	transport *replica.LinkTransport
+	caller    *idempotency.LinkCaller
+	client    *idempotency.Client
+	host      *idempotency.Host
+}
+
+func (n *Node) newGroups(log *slog.Logger) *groups {
+	g := &groups{}
+	g.transport = replica.NewLinkTransport(n.dialer, n.linkAddr, prefixed(log, "groups"))
+	g.caller = &idempotency.LinkCaller{
+		Dialer:  n.dialer,
+		Resolve: func(id fleet.NodeID) string { return n.linkAddr(string(id)) },
+		Self:    fleet.NodeID(n.set.NodeID),
+	}
+	g.client = idempotency.NewClient(g.caller, n.groupOf)
+	return g
+}
+
+// start begins to hold replicas. incarnation is that of this process.
+func (g *groups) start(n *Node, incarnation uint64, log *slog.Logger) {
+	g.host = idempotency.NewHost(idempotency.HostConfig{
+		Node:        fleet.NodeID(n.set.NodeID),
+		Incarnation: incarnation,
+		Transport:   g.transport,
+		NewLedger:   func(string) consensus.StateMachine { return ejection.New() },
+		Log:         prefixed(log, "groups"),
+	})
+	g.caller.Local = g.host
+	n.mux.Handle(wire.FrameConsensus, g.transport.Handle)
+	n.mux.Handle(wire.FrameGroupCall, g.host.Handle)
+}
+
+func (g *groups) stop() {
+	g.client.Close()
+	g.host.Stop()
+	g.transport.Close()
+}
+
+// linkAddr returns the link address of a live node, or "".
+func (n *Node) linkAddr(id string) string {
+	v := n.board.View()
+	if string(v.Self.ID) == id {
+		return v.Self.LinkAddr
+	}
+	node, ok := v.Node(fleet.NodeID(id))
+	if !ok {
+		return ""
+	}
+	return node.LinkAddr
+}
+
+// groupOf returns the group of a service, or nil.
+func (n *Node) groupOf(service string) *resource.Group {
+	c := n.board.View().Config
+	if c == nil || c.Services[service] == nil {
+		return nil
+	}
+	return c.Groups[c.Services[service].Group]
+}
+
+// askLedger has a command committed by the ledger of its service.
+func (n *Node) askLedger(ctx context.Context, c ejection.Command) {
+	g := n.groupOf(c.Service)
+	if g == nil {
+		return
+	}
+	b, err := ejection.Encode(c)
+	if err != nil {
+		n.log.Error("ledger command not encoded", "service", c.Service, "fault", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	answer, err := n.groups.client.Ledger(ctx, g, b)
+	if err != nil {
+		n.log.Debug("ledger not reached", "service", c.Service, "group", g.Name, "fault", err)
+		return
+	}
+	r, err := ejection.DecodeResult(answer)
+	if err != nil {
+		n.log.Error("ledger result not decoded", "service", c.Service, "fault", err)
+		return
+	}
+	if c.Operation == ejection.OpEject {
+		n.log.Info("ejection asked for", "upstream", c.Upstream, "severity", c.Severity, "denial", r.Denial, "capacity", r.Capacity, "floor", r.Floor)
+	}
+	n.post(board.LedgerAnswered{Service: c.Service, Operation: c.Operation, Result: r})
+}
--- a/node/join.go
+++ b/node/join.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Incarnation implements Membership.
+func (m *members) Incarnation() uint64 { return m.Gossip.Local().Incarnation }
+
 // Close implements Membership.
 func (m *members) Close() error {
 	if m.cancel != nil {
--- a/node/new.go
+++ b/node/new.go
@@ -59,11 +59,13 @@
 	}
 	n.board = board.New(self, prefixed(log, "board"), n.perform, board.Controllers()...)
 	n.mux = link.NewMux(prefixed(log, "link"))
+	n.groups = n.newGroups(log)
 	n.buildTraffic(log)
 	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log})
 	if err != nil {
 		return nil, err
 	}
+	n.groups.start(n, n.members.Incarnation(), log)
 	return n, n.listen(log)
 }
 
@@ -75,6 +77,7 @@
 		Configuration: configuration,
 		Observe:       n.observe,
 		Crashes:       n.crashes,
+		Claims:        n.groups.client,
 	})
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
@@ -83,6 +86,7 @@
 		Log:    prefixed(log, "ingress"),
 		View:   n.board.View,
 		Dialer: n.dialer,
+		Claims: n.groups.client,
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,7 @@
 	members    Membership
 	config     ConfigSource
 	crashes    *crashes
+	groups     *groups
 
 	observations chan dispatch.Observation
 	dropped      expvar.Int // observations
@@ -57,6 +58,8 @@
 	// Subscribe calls f for each change of a member, and for present members.
 	Subscribe(f func(fleet.Node))
 	Leave(ctx context.Context) error
+	// Incarnation is that of this process as other nodes see it.
+	Incarnation() uint64
 	Close() error
 }
 
@@ -146,6 +149,8 @@
 		n.dispatcher.SetSuspect(a.ID, a.Suspect)
 	case board.SendSummaries:
 		go n.sendSummaries(n.background, a)
+	case board.AskLedger:
+		go n.askLedger(n.background, a.Command)
 	}
 }
 
@@ -159,7 +164,11 @@
 	g.Go(func() error { n.board.Run(run); return nil })
 	g.Go(func() error { n.batchObservations(run); return nil })
 	n.members.Subscribe(func(m fleet.Node) { n.post(board.NodeChanged{Node: m}) })
-	n.config.Subscribe(func(s *resource.Set) { n.post(board.ConfigChanged{Config: resource.Compile(s)}) })
+	n.config.Subscribe(func(s *resource.Set) {
+		c := resource.Compile(s)
+		n.post(board.ConfigChanged{Config: c})
+		n.groups.host.SetGroups(c.Groups)
+	})
 	g.Go(func() error { return n.mux.Serve(run, n.listener) })
 	g.Go(func() error { return n.config.Run(run) })
 	g.Go(func() error { return serve(n.callers, n.callerLn) })
@@ -216,6 +225,7 @@
 	// Attempts from other nodes are refused only now that they know.
 	err = errors.Join(err, n.dispatcher.Leave(ctx))
 	err = errors.Join(err, n.announcements.Shutdown(ctx))
+	n.groups.stop()
 	n.listener.Close()
 	n.dialer.Close()
 	n.members.Close()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -48,6 +48,7 @@
 	}
 }
 
+func (h *hub) Incarnation() uint64         { return 1 }
 func (h *hub) Leave(context.Context) error { return nil }
 func (h *hub) Close() error                { return nil }
 
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
+)
+
+const boot = 1 << 20 // difference of incarnations between two starts of a process
+
+// members returns n nodes in each failure domain of two regions.
+func members(n int) []fleet.Node {
+	var out []fleet.Node
+	for _, domain := range []string{"r1-a", "r1-b", "r2-a", "r2-b"} {
+		for i := range n {
+			out = append(out, fleet.Node{
+				ID: fleet.NodeID(fmt.Sprintf("%s-%d", domain, i)), Incarnation: boot,
+				Region: domain[:2], FailureDomain: domain,
+			})
+		}
+	}
+	return out
+}
+
+func planned(t *testing.T, groups map[string]*resource.Group, nodes []fleet.Node) map[string]*resource.Group {
+	out := map[string]*resource.Group{}
+	for name, g := range groups {
+		out[name] = g
+	}
+	for _, g := range Plan(groups, nodes) {
+		assert.Equal(t, len(resource.Validate(g)), 0)
+		out[g.Name] = g
+	}
+	return out
+}
+
+func fail(nodes []fleet.Node, id string, change func(*fleet.Node)) []fleet.Node {
+	out := append([]fleet.Node(nil), nodes...)
+	for i := range out {
+		if string(out[i].ID) == id {
+			change(&out[i])
+		}
+	}
+	return out
+}
+
+func die(n *fleet.Node)     { n.State = fleet.NodeDead }
+func restart(n *fleet.Node) { n.Incarnation += boot }
+
+// Guards against a group that the loss of one failure domain ends.
+func TestGroupsAreSpread(t *testing.T) {
+	groups := planned(t, nil, members(10))
+	assert.Equal(t, len(groups), 4)
+	for _, g := range groups {
+		domains, remote := map[string]int{}, 0
+		for _, m := range g.Members {
+			domains[m.Node[:4]]++
+			if m.Node[:2] != g.HomeRegion {
+				remote++
+			}
+		}
+		assert.Equal(t, len(g.Members), 5)
+		assert.Equal(t, remote, 1)
+		for d, n := range domains {
+			assert.Assert(t, n <= 2, "%s holds %d", d, n)
+		}
+	}
+	assert.Equal(t, len(Plan(groups, members(10))), 0, "a plan that was carried out must be stable")
+}
+
+// Guards against a replica that votes after its node has lost its memory.
+func TestLostMembersAreReplacedUnderNewIdentity(t *testing.T) {
+	nodes := members(3)
+	groups := planned(t, nil, nodes)
+	g := groups["r1-0"]
+	for name, change := range map[string]func(*fleet.Node){"dead": die, "restarted": restart} {
+		next := planned(t, groups, fail(nodes, g.Members[0].Node, change))["r1-0"]
+		assert.Equal(t, len(next.Members), 5, name)
+		assert.Equal(t, next.Epoch, g.Epoch, name)
+		assert.DeepEqual(t, next.Founders, g.Founders)
+		added := next.Members[4]
+		assert.Assert(t, added.Joining && added.Replica == 6, name)
+		for _, m := range next.Members {
+			assert.Assert(t, m.Replica != g.Members[0].Replica, name)
+		}
+	}
+}
+
+// Guards against a second group beside one that still works beyond a
+// partition: only proof that a majority lost its memory starts a new epoch.
+func TestOnlyLostMemoryStartsANewEpoch(t *testing.T) {
+	nodes := members(3)
+	groups := planned(t, nil, nodes)
+	g := groups["r1-0"]
+	dead, restarted := nodes, nodes
+	for _, m := range g.Members[:3] {
+		dead = fail(dead, m.Node, die)
+		restarted = fail(restarted, m.Node, restart)
+	}
+	assert.Equal(t, planned(t, groups, dead)["r1-0"], g)
+	next := planned(t, groups, restarted)["r1-0"]
+	assert.Equal(t, next.Epoch, g.Epoch+1)
+	for _, m := range next.Members {
+		assert.Assert(t, m.Replica > 5 && !m.Joining)
+	}
+}
+
+// Guards against a replica number that is given out twice, under which a node
+// without memory would vote for what it forgot.
+func TestReplicaNumbersAreNeverReused(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		nodes := members(rapid.IntRange(1, 3).Draw(rt, "per domain"))
+		groups := planned(t, nil, nodes)
+		holder := map[string]resource.GroupMember{}
+		for range 30 {
+			for _, g := range groups {
+				for _, m := range g.Members {
+					name := fmt.Sprintf("%s/%d", g.Name, m.Replica)
+					m.Joining = false
+					if old, ok := holder[name]; ok {
+						assert.Equal(t, old, m)
+					}
+					holder[name] = m
+				}
+			}
+			i := rapid.IntRange(0, len(nodes)-1).Draw(rt, "node")
+			state := rapid.SampledFrom([]fleet.NodeState{fleet.NodeAlive, fleet.NodeSuspect, fleet.NodeDead}).Draw(rt, "state")
+			nodes = fail(nodes, string(nodes[i].ID), func(n *fleet.Node) {
+				n.State = state
+				if rapid.Bool().Draw(rt, "restart") {
+					restart(n)
+				}
+			})
+			groups = planned(t, groups, nodes)
+		}
+	})
+}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -23,6 +23,7 @@
 //	fleet config FILE|default                  put a configuration in force
 //	fleet node NAME REGION DOMAIN [FLAG...]    start a node on the next free VM
 //	fleet upstream NAME NODE SERVICE [FLAG...] start a stand-in on the VM of a node
+//	fleet claims BOUND                         all running nodes serve orders with a key
 //	fleet ready UPSTREAMS BOUND                all running nodes know the configuration and that many upstreams
 //	fleet applied BOUND                        all running nodes have the configuration that was written last
 //	fleet changes N                            write N changes, one after the other
@@ -98,6 +99,8 @@
 		return nil
 	case action == "applied" && len(rest) == 1:
 		return w.waitApplied(rest[0])
+	case action == "claims" && len(rest) == 1:
+		return w.waitClaims(rest[0])
 	case action == "changes" && len(rest) == 1:
 		return w.makeChanges(rest[0])
 	case action == "race" && len(rest) == 1:
