--- a/cmd/godwithub-bench/main.go
+++ b/cmd/godwithub-bench/main.go
@@ -21,11 +21,19 @@
 	links.Description = "compare transports between nodes"
 	links.Duration(&duration, "", "duration", "length of each run")
 	flaggy.AttachSubcommand(links, 1)
+	repeats := 3
+	latency := flaggy.NewSubcommand("latency")
+	latency.Description = "measure what two nodes add to a request"
+	latency.Duration(&duration, "", "duration", "length of each run")
+	latency.Int(&repeats, "", "repeats", "runs of each rate")
+	flaggy.AttachSubcommand(latency, 1)
 	flaggy.Parse()
 	var err error
 	switch {
 	case links.Used:
 		err = bench.Links{Rates: []int{200, 2000, 5000}, Duration: duration, QUICConns: []int{1, 2, 8}, Out: os.Stdout}.Run()
+	case latency.Used:
+		err = bench.Latency{Rates: []int{200, 2000}, Duration: duration, Repeats: repeats, Out: os.Stdout}.Run()
 	default:
 		flaggy.ShowHelpAndExit("a subcommand is needed")
 	}
