health: let a first suspicion last 2 s instead of 5

Cause: a kind that gets no work while its upstream is suspect gives no evidence until the suspicion ends. Change: suspectHold; it still doubles while suspicions follow each other.

--- a/health/detector.go
+++ b/health/detector.go
@@ -36,7 +36,7 @@
 	minPeers = 2
 	// suspectHold is how long a suspicion lasts without new evidence. It
 	// doubles while suspicions follow each other, up to maxSuspectHold.
-	suspectHold    = 5 * time.Second
+	suspectHold    = 2 * time.Second
 	maxSuspectHold = 60 * time.Second
 	// severityWindow averages the severity, in intervals.
 	severityWindow = 5
