health: suspect only on a large change

Cause: an upstream that fails a tenth of its work was avoided before there was enough evidence to eject it. Change: the suspicion test alarms on its large-change part only.

--- a/health/detector.go
+++ b/health/detector.go
@@ -132,6 +132,9 @@
 }
 
 func (d *Detector) suspectTest(now time.Time, name string, k *kind, b *KindBaseline, r Result, latency time.Duration) {
+	// Only a large change makes a suspect. Avoidance would take the evidence
+	// away that ejects an upstream with a small change, and such an upstream
+	// does little harm until then.
 	h := threshold(d.options.FalseSuspicions, d.rate)
 	limit := limitShare * h
 	if r != TimedOut {
@@ -143,10 +146,10 @@
 		k.fast.slow.add(slowParameters(b), count(slow), 1, limit, h)
 	}
 	switch {
-	case k.fast.failures.value() >= h:
+	case k.fast.failures.large >= h:
 		d.raise(now, Verdict{Suspect, name, CauseFailures, k.bad})
 		k.fast.failures = cusum{}
-	case k.fast.slow.value() >= h:
+	case k.fast.slow.large >= h:
 		d.raise(now, Verdict{Suspect, name, CauseLatency, k.bad})
 		k.fast.slow = cusum{}
 	}
