--- a/gossip/queue.go
+++ b/gossip/queue.go
@@ -11,10 +11,14 @@
 )
 
 // backlog is the length from which a queue counts a change that comes in again
-// as sent. The change is then known widely, and the queue holds more than fits
-// one datagram.
+// as sent, once for each multiple of backlog. The change is then known widely,
+// and the queue holds more than fits one datagram.
 const backlog = 16
 
+// storm is the length from which a node no longer relies on the queue alone;
+// see compareTables. It is reached when many nodes start at once.
+const storm = 8 * backlog
+
 // part names one part of a node's record. A queued change replaces an older
 // one of the same part.
 type part struct {
@@ -46,9 +50,10 @@
 // queue holds changes until each was sent often enough. It holds at most one
 // per part of the members known.
 type queue struct {
-	items map[part]*queued
-	order uint64
-	fresh int // number of fresh changes
+	items  map[part]*queued
+	order  uint64
+	fresh  int // number of fresh changes
+	urgent int // number of urgent changes
 }
 
 func newQueue() *queue { return &queue{items: map[part]*queued{}} }
@@ -59,11 +64,17 @@
 	q.order++
 	q.items[p] = &queued{part: p, raw: mustEncode(r), order: q.order, urgent: urgent, fresh: true}
 	q.fresh++
+	if urgent {
+		q.urgent++
+	}
 }
 
 func (q *queue) remove(p part) {
 	if it := q.items[p]; it != nil {
 		q.unfresh(it)
+		if it.urgent {
+			q.urgent--
+		}
 		delete(q.items, p)
 	}
 }
@@ -87,10 +98,15 @@
 // duplicate notes that a change came in again.
 func (q *queue) duplicate(p part, limit int) {
 	it := q.items[p]
-	if it == nil || len(q.items) < backlog {
+	if it == nil {
 		return
 	}
-	if it.sends++; it.sends >= limit {
+	// Urgent changes go before the others, which don't delay them.
+	waiting := len(q.items)
+	if it.urgent {
+		waiting = q.urgent
+	}
+	if it.sends += waiting / backlog; it.sends >= limit {
 		q.remove(p)
 	}
 }
