Add the report on service-level burn, fleet and explain

Cause: operators need to see what each rank asked, got and was refused, and how fast error budgets go. Change: nodes count requests against their kinds' objectives and send running totals to every control VM every 10 s; control keeps windows of 5 min, 1 h, 6 h and 3 days; 'godwithub report burn' prints or plots them, 'godwithub fleet' shows nodes and upstreams, 'godwithub explain' one recent request. Measured: property test of sums under lost and repeated messages and restarts passes; traffic by estimate 400 B/s per node, not measured. Conclusion: history is lost when a control VM restarts; the report says since when it counts.

--- /dev/null
+++ b/burn/burn.go
@@ -0,0 +1,115 @@
+// Package burn counts how requests end against their service-level objectives,
+// and reports how fast services use up their error budgets.
+//
+// Nodes count; each sends its running totals to every control VM, which keeps
+// the differences in windows. Totals make a lost or repeated message harmless,
+// and a node that restarts begins a new series.
+package burn
+
+import (
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/fleet"
+)
+
+// Key names what is counted together.
+type Key struct {
+	Service string `cbor:"1,keyasint" json:"service"`
+	Kind    string `cbor:"2,keyasint" json:"kind"`
+}
+
+// Counts are numbers of requests.
+type Counts struct {
+	Asked    uint64 `cbor:"1,keyasint" json:"asked"`
+	Answered uint64 `cbor:"2,keyasint" json:"answered"`
+	// InTime counts answers with a status below 500 within the latency objective.
+	InTime uint64 `cbor:"3,keyasint" json:"inTime"`
+	Errors uint64 `cbor:"4,keyasint" json:"errors"` // answers with status 500 or above
+	// Refused counts requests that were not run because of overload.
+	Refused  uint64 `cbor:"5,keyasint" json:"refused"`
+	NotRun   uint64 `cbor:"6,keyasint" json:"notRun"` // for other reasons
+	Unknown  uint64 `cbor:"7,keyasint" json:"unknown"`
+	Attempts uint64 `cbor:"8,keyasint" json:"attempts"`
+}
+
+// plus returns c + d.
+func (c Counts) plus(d Counts) Counts {
+	return Counts{
+		c.Asked + d.Asked, c.Answered + d.Answered, c.InTime + d.InTime, c.Errors + d.Errors,
+		c.Refused + d.Refused, c.NotRun + d.NotRun, c.Unknown + d.Unknown, c.Attempts + d.Attempts,
+	}
+}
+
+// minus returns c - d. Totals only grow, so c is at least d.
+func (c Counts) minus(d Counts) Counts {
+	return Counts{
+		c.Asked - d.Asked, c.Answered - d.Answered, c.InTime - d.InTime, c.Errors - d.Errors,
+		c.Refused - d.Refused, c.NotRun - d.NotRun, c.Unknown - d.Unknown, c.Attempts - d.Attempts,
+	}
+}
+
+// Entry is the total of one key.
+type Entry struct {
+	Key    Key    `cbor:"1,keyasint"`
+	Counts Counts `cbor:"2,keyasint"`
+}
+
+// Totals are what a node has counted since its process started. Only keys that
+// changed since the last message need to be sent.
+type Totals struct {
+	Node fleet.NodeID `cbor:"1,keyasint"`
+	// Boot tells one process of the node from the next.
+	Boot uint64 `cbor:"2,keyasint"`
+	// UptimeMs is the age of the process, in milliseconds.
+	UptimeMs int64   `cbor:"3,keyasint"`
+	Entries  []Entry `cbor:"4,keyasint"`
+	// Full says that Entries holds all keys.
+	Full bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Reply answers Totals.
+type Reply struct {
+	// SendAll asks for full totals: the control VM does not know the process.
+	SendAll bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Recorder counts at a node. It is safe for concurrent use.
+type Recorder struct {
+	mu     sync.Mutex
+	totals map[Key]*tally
+}
+
+type tally struct {
+	Counts
+	changed time.Time
+}
+
+// NewRecorder returns a recorder of zero counts.
+func NewRecorder() *Recorder { return &Recorder{totals: map[Key]*tally{}} }
+
+// Add counts a request.
+func (r *Recorder) Add(now time.Time, k Key, c Counts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.totals[k]
+	if t == nil {
+		t = &tally{}
+		r.totals[k] = t
+	}
+	t.Counts = t.plus(c)
+	t.changed = now
+}
+
+// ChangedSince returns the totals of the keys that changed at t or later.
+func (r *Recorder) ChangedSince(t time.Time) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Entry
+	for k, tl := range r.totals {
+		if !tl.changed.Before(t) {
+			out = append(out, Entry{k, tl.Counts})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,80 @@
+package burn
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	key   = Key{"shop", "browse"}
+)
+
+func testConfig() *resource.Config {
+	s := resource.NewSet(resource.Version{Epoch: 1})
+	s.Put(&resource.Rank{Meta: resource.Meta{Name: "normal"}, Level: 1})
+	s.Put(&resource.RequestKind{Meta: resource.Meta{Name: "browse"}, Service: "shop", Rank: "normal", AvailabilityObjective: 0.99})
+	return resource.Compile(s)
+}
+
+// Guards against requests that are counted twice or lost when messages are
+// lost, repeated or late, or when a node restarts.
+func TestSumsOutliveLossAndRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewStore(start)
+		now, boot, began := start, uint64(1), start
+		r := NewRecorder()
+		var asked, confirmed uint64
+		var sent []Totals
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			switch rapid.SampledFrom([]string{"ask", "send", "lose", "repeat", "restart"}).Draw(t, "step") {
+			case "ask":
+				r.Add(now, key, Counts{Asked: 1})
+				asked++
+			case "send":
+				m := Totals{"n", boot, now.Sub(began).Milliseconds(), r.ChangedSince(time.Time{}), true}
+				s.Add(now, m)
+				sent, confirmed = append(sent, m), asked
+			case "repeat":
+				if len(sent) > 0 {
+					s.Add(now, rapid.SampledFrom(sent).Draw(t, "message"))
+				}
+			case "restart":
+				boot, began, r, asked = boot+1, now, NewRecorder(), confirmed
+			}
+		}
+		assert.Equal(t, s.sum(now, time.Hour)[key].Asked, confirmed)
+	})
+}
+
+// Guards against a burn that is off by the objective, and a window that counts
+// what is over.
+func TestBurn(t *testing.T) {
+	s := NewStore(start)
+	s.Add(start, Totals{"n", 1, 0, []Entry{{key, Counts{Asked: 1000, Answered: 980, InTime: 980}}}, true})
+	later := start.Add(30 * time.Minute)
+	s.Add(later, Totals{"n", 1, 0, []Entry{{key, Counts{Asked: 1100, Answered: 1080, InTime: 1080}}}, false})
+	row := s.Report(later, testConfig()).Rows[0]
+	assert.Equal(t, row.Windows[0].Asked, uint64(100))
+	assert.Equal(t, row.Windows[0].Burn, 0.0)
+	assert.Equal(t, row.Windows[1].Asked, uint64(1100))
+	assert.Assert(t, row.Windows[1].Burn > 1.81 && row.Windows[1].Burn < 1.82)
+	assert.Assert(t, row.BudgetUsed == row.Windows[3].Burn && row.Objective > 0.989 && row.Objective < 0.991)
+}
+
+// Guards against counts from before a control VM's restart that are taken for
+// new ones.
+func TestOldProcessStartsFromItsTotals(t *testing.T) {
+	s := NewStore(start)
+	hour := time.Hour.Milliseconds()
+	assert.Assert(t, s.Add(start, Totals{"n", 1, hour, []Entry{{key, Counts{Asked: 1000}}}, false}).SendAll)
+	assert.Assert(t, !s.Add(start, Totals{"n", 1, hour, []Entry{{key, Counts{Asked: 1000}}}, true}).SendAll)
+	s.Add(start, Totals{"n", 1, hour, []Entry{{key, Counts{Asked: 1010}}}, false})
+	assert.Equal(t, s.sum(start, time.Hour)[key].Asked, uint64(10))
+}
--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,113 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwithub/godwithub/resource"
+)
+
+// Windows are the lengths of time that a report covers, the shortest first. A
+// fast burn shows in the short ones and a slow burn in the long ones.
+var Windows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour}
+
+// Report is how services did against their objectives.
+type Report struct {
+	At time.Time `json:"at"`
+	// Since is when the counting control VM began; windows that go back further
+	// are covered in part.
+	Since time.Time `json:"since"`
+	Nodes int       `json:"nodes"` // nodes heard of in the last hour
+	Rows  []Row     `json:"rows"`
+}
+
+// Row is one service and rank.
+type Row struct {
+	Service string `json:"service"`
+	Rank    string `json:"rank"`
+	Level   int    `json:"level"`
+	// Objective is the share of requests to be answered in time, weighted by
+	// the requests of each kind.
+	Objective float64 `json:"objective"`
+	// BudgetUsed is the part of the error budget of the longest window that is
+	// gone; above 1 the objective is missed.
+	BudgetUsed float64  `json:"budgetUsed"`
+	Windows    []Window `json:"windows"`
+}
+
+// Window is what happened in one length of time.
+type Window struct {
+	Minutes int `json:"minutes"`
+	Counts
+	// Burn is the share of requests that missed the objective, relative to the
+	// share that it allows. 1 uses the budget up exactly.
+	Burn float64 `json:"burn"`
+}
+
+// Report sums the windows by service and rank of configuration c.
+func (s *Store) Report(now time.Time, c *resource.Config) Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := Report{At: now, Since: s.began, Nodes: len(s.nodes)}
+	rows := map[rowKey]*Row{}
+	for i, w := range Windows {
+		for k, counts := range s.sum(now, w) {
+			kind := c.Kinds[k.Kind]
+			if kind == nil {
+				continue
+			}
+			row := rowOf(rows, k, kind, c)
+			row.add(i, counts, kind.AvailabilityObjective)
+		}
+	}
+	for _, row := range rows {
+		row.finish()
+		r.Rows = append(r.Rows, *row)
+	}
+	slices.SortFunc(r.Rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
+	})
+	return r
+}
+
+type rowKey struct{ service, rank string }
+
+func rowOf(rows map[rowKey]*Row, k Key, kind *resource.RequestKind, c *resource.Config) *Row {
+	id := rowKey{k.Service, kind.Rank}
+	row := rows[id]
+	if row == nil {
+		row = &Row{Service: k.Service, Rank: kind.Rank, Windows: make([]Window, len(Windows))}
+		if rank := c.Ranks[kind.Rank]; rank != nil {
+			row.Level = rank.Level
+		}
+		for i, w := range Windows {
+			row.Windows[i].Minutes = int(w / time.Minute)
+		}
+		rows[id] = row
+	}
+	return row
+}
+
+// add counts one kind in window i. Until finish, Burn holds the number of
+// misses that the objectives allow.
+func (r *Row) add(i int, c Counts, objective float64) {
+	w := &r.Windows[i]
+	w.Counts = w.plus(c)
+	w.Burn += float64(c.Asked) * (1 - objective)
+}
+
+func (r *Row) finish() {
+	for i := range r.Windows {
+		w := &r.Windows[i]
+		allowed := w.Burn
+		w.Burn = 0
+		if allowed > 0 {
+			w.Burn = float64(w.Asked-w.InTime) / allowed
+		}
+		if i == len(r.Windows)-1 && w.Asked > 0 {
+			r.Objective = 1 - allowed/float64(w.Asked)
+			r.BudgetUsed = w.Burn
+		}
+	}
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -42,6 +42,7 @@
 	options  Options
 	parser   *flaggy.Parser
 	commands map[*flaggy.Subcommand]command
+	reports  reportOptions
 }
 
 // command is the action of a subcommand.
@@ -100,6 +101,7 @@
 	a.addWatch()
 	a.addMembers()
 	a.addSnapshots()
+	a.addReports()
 }
 
 // parent is a parser or a subcommand.
--- /dev/null
+++ b/cli/reports.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/godwithub/godwithub/burn"
+	"github.com/godwithub/godwithub/fleet"
+)
+
+// reportOptions are the flags of reports.
+type reportOptions struct {
+	plot      string // file for a plot; empty: none
+	requestID string
+	debugAddr string
+}
+
+func (a *app) addReports() {
+	a.add(a.parser, "fleet", "Prints the nodes and their upstreams, with suspects and ejections.", a.fleet)
+	reports := a.group("report", "Prints reports.")
+	b := a.add(reports, "burn", "Prints how fast services use up their error budgets.", a.reportBurn)
+	b.String(&a.reports.plot, "", "plot", "file for a plot of the burn (.png, .svg or .pdf)")
+	e := a.add(a.parser, "explain", "Prints the path, attempts and reasons of one recent request. Run it on the VM of the node that took the request.", a.explain)
+	e.AddPositionalValue(&a.reports.requestID, "REQUEST", 1, true, "id from the Godwithub-Request-Id header")
+	e.String(&a.reports.debugAddr, "", "debug-addr", "debug address of the node")
+}
+
+func (a *app) fleet(ctx context.Context) error {
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	f, err := c.Fleet(ctx)
+	if err != nil {
+		return err
+	}
+	if a.json() {
+		return a.printJSON(f)
+	}
+	t := newTable(a.Out, "NODE", "STATE", "REGION", "FAILURE DOMAIN", "CONFIG", "UPSTREAM", "SERVICE", "SLOTS", "UPSTREAM STATE")
+	for _, n := range f.Nodes {
+		prefix := []string{string(n.ID), n.State.String(), n.Region, n.FailureDomain, n.Config.String()}
+		if len(n.Upstreams) == 0 {
+			t.row(append(prefix, "-", "-", "-", "-")...)
+		}
+		for _, u := range n.Upstreams {
+			t.row(append(prefix[:len(prefix):len(prefix)], string(u.ID), u.Service, strconv.Itoa(u.Slots), upstreamState(u))...)
+		}
+	}
+	return t.flush()
+}
+
+func upstreamState(u fleet.Upstream) string {
+	s := u.State.String()
+	switch {
+	case u.Ejected:
+		return s + ", ejected"
+	case u.Trial:
+		return s + ", on trial"
+	case u.Suspect:
+		return s + ", suspect"
+	}
+	return s
+}
+
+func (a *app) reportBurn(ctx context.Context) error {
+	c, err := a.connect()
+	if err != nil {
+		return err
+	}
+	r, err := c.Burn(ctx)
+	if err != nil {
+		return err
+	}
+	if a.reports.plot != "" {
+		if err := plotBurn(r, a.reports.plot); err != nil {
+			return err
+		}
+	}
+	if a.json() {
+		return a.printJSON(r)
+	}
+	a.printf("%d nodes, counts since %s\n\n", r.Nodes, r.Since.Format(time.RFC3339))
+	t := newTable(a.Out, "SERVICE", "RANK", "OBJECTIVE", "BUDGET USED", "WINDOW", "ASKED", "IN TIME", "REFUSED", "ERRORS", "NOT RUN", "UNKNOWN", "BURN")
+	for _, row := range r.Rows {
+		for _, w := range row.Windows {
+			t.row(row.Service, row.Rank, fmt.Sprintf("%.4f", row.Objective), fmt.Sprintf("%.0f%%", 100*row.BudgetUsed),
+				(time.Duration(w.Minutes) * time.Minute).String(), count(w.Asked), count(w.InTime), count(w.Refused),
+				count(w.Errors), count(w.NotRun), count(w.Unknown), fmt.Sprintf("%.2f", w.Burn))
+		}
+	}
+	return t.flush()
+}
+
+func count(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// Size of a plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	barWidth   = 8 // points
+)
+
+// plotBurn draws the burn of each service and rank in each window.
+func plotBurn(r *burn.Report, file string) error {
+	p := plot.New()
+	p.Title.Text = "Service-level burn (1 uses the budget up exactly)"
+	p.Y.Label.Text = "burn"
+	names := make([]string, len(r.Rows))
+	for i, row := range r.Rows {
+		names[i] = row.Service + " / " + row.Rank
+	}
+	for i, window := range burn.Windows {
+		values := make(plotter.Values, len(r.Rows))
+		for j, row := range r.Rows {
+			values[j] = row.Windows[i].Burn
+		}
+		if len(values) == 0 {
+			break
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		if err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+		bars.Offset = vg.Points(float64(barWidth * i))
+		bars.Color = plotutil.Color(i)
+		p.Add(bars)
+		p.Legend.Add(window.String(), bars)
+	}
+	p.Legend.Top = true
+	p.NominalX(names...)
+	if err := p.Save(plotWidth, plotHeight, file); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
+
+func (a *app) explain(ctx context.Context) error {
+	if a.reports.debugAddr == "" {
+		a.reports.debugAddr = os.Getenv("GODWITHUB_DEBUG_ADDR")
+	}
+	if a.reports.debugAddr == "" {
+		return usagef("--debug-addr is missing")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.reports.debugAddr+"/v1/explain/"+a.reports.requestID, nil)
+	if err != nil {
+		return usagef("%v", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("node: %s", body)
+	}
+	return a.printJSON(json.RawMessage(body))
+}
--- a/client/resources.go
+++ b/client/resources.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/control/apiv1"
 	"github.com/godwithub/godwithub/resource"
 )
@@ -162,6 +163,18 @@
 	return out, c.read(ctx, "/v1/status", nil, out)
 }
 
+// Fleet returns membership as a control VM knows it.
+func (c *Client) Fleet(ctx context.Context) (*apiv1.Fleet, error) {
+	out := &apiv1.Fleet{}
+	return out, c.read(ctx, "/v1/fleet", nil, out)
+}
+
+// Burn returns the report of service-level burn.
+func (c *Client) Burn(ctx context.Context) (*burn.Report, error) {
+	out := &burn.Report{}
+	return out, c.read(ctx, "/v1/reports/burn", nil, out)
+}
+
 // Members returns the members of the control group.
 func (c *Client) Members(ctx context.Context) ([]apiv1.Member, error) {
 	out := &apiv1.Members{}
--- a/control/apiv1/documents.go
+++ b/control/apiv1/documents.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/resource"
 )
 
@@ -218,3 +219,9 @@
 	}
 	return v, nil
 }
+
+// Fleet is the answer to GET /v1/fleet.
+type Fleet struct {
+	// Nodes are the nodes that membership knows of, control VMs left out.
+	Nodes []fleet.Node `json:"nodes"`
+}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -15,8 +15,10 @@
 
 	"github.com/kataras/iris/v12"
 
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/resource"
 )
 
@@ -51,6 +53,10 @@
 	NodeID string
 	// Reached may be nil if this process does not know the nodes.
 	Reached ReachedSource
+	// Fleet returns membership without control VMs, and Burn the report of
+	// service-level burn. Either may be nil.
+	Fleet func() []fleet.Node
+	Burn  func(now time.Time) burn.Report
 	// Members may be nil; members are then only recorded.
 	Members MemberChanger
 	Log     *slog.Logger
@@ -116,6 +122,8 @@
 	})
 	v1.Get("/status", reader, s.lead, s.status)
 	v1.Get("/watch", reader, s.lead, s.watch)
+	v1.Get("/fleet", reader, s.fleet)
+	v1.Get("/reports/burn", reader, s.burn)
 	v1.Post("/apply", writer, s.lead, s.applyBatch)
 	v1.Get("/members", reader, s.lead, s.listMembers)
 	v1.Put("/members/{id}", admin, s.lead, s.putMember)
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -13,8 +13,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/link/tlslink"
@@ -59,6 +61,9 @@
 	Background func(context.Context, Parts, control.Replicator)
 	// Reached tells which versions are in force at the nodes. May be nil.
 	Reached server.ReachedSource
+	// Fleet and Burn are passed to the resource API. Either may be nil.
+	Fleet func() []fleet.Node
+	Burn  func(now time.Time) burn.Report
 	// Members changes the members of the control group. May be nil.
 	Members server.MemberChanger
 }
@@ -127,7 +132,7 @@
 	}
 	d.server, err = server.New(server.Config{
 		Machine: d.parts.Machine, Replicator: d.replication, Tokens: tokens, NodeID: d.set.NodeID,
-		Reached: d.options.Reached, Members: d.options.Members, Log: log,
+		Reached: d.options.Reached, Members: d.options.Members, Fleet: d.options.Fleet, Burn: d.options.Burn, Log: log,
 	})
 	return err
 }
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/server"
 	"github.com/godwithub/godwithub/distribute"
@@ -14,6 +15,7 @@
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/link/tlslink"
+	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -21,6 +23,7 @@
 // configuration, and takes part in membership to see which nodes have it.
 type Fleet struct {
 	holder  *distribute.Holder
+	burn    *burn.Store
 	gossip  *gossip.Gossip
 	dialer  link.Dialer
 	stopped chan struct{}
@@ -30,12 +33,14 @@
 // NewFleet returns options that connect a daemon to the fleet. Close ends the
 // connection.
 func NewFleet() (*Fleet, Options) {
-	f := &Fleet{holder: distribute.NewHolder(), stopped: make(chan struct{})}
+	f := &Fleet{holder: distribute.NewHolder(), burn: burn.NewStore(time.Now()), stopped: make(chan struct{})}
 	return f, Options{
 		Holder:     f.holder,
 		Register:   f.register,
 		Reached:    server.MemberSource(f.nodes),
 		Background: f.place,
+		Fleet:      f.nodes,
+		Burn:       f.reportBurn,
 	}
 }
 
@@ -47,6 +52,20 @@
 	return fleet.NodesOnly(f.gossip.Members())
 }
 
+// serveBurn takes in the counts of a node.
+func (f *Fleet) serveBurn(_ context.Context, s link.Stream, first link.Frame) {
+	var t burn.Totals
+	if wire.Decode(first.Payload, &t) != nil || wire.Write(s, wire.FrameBurnReply, f.burn.Add(time.Now(), t)) != nil {
+		s.Reset()
+		return
+	}
+	s.Close()
+}
+
+func (f *Fleet) reportBurn(now time.Time) burn.Report {
+	return f.burn.Report(now, resource.Compile(f.holder.Current()))
+}
+
 // place keeps idempotency groups placed on the nodes.
 func (f *Fleet) place(ctx context.Context, p Parts, r control.Replicator) {
 	pl := &placer{id: p.Settings.NodeID, machine: p.Machine, replicator: r, nodes: f.nodes, log: p.Log}
@@ -75,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	p.Mux.Handle(wire.FrameBurn, f.serveBurn)
 	p.Mux.Handle(wire.FrameMembers, f.gossip.HandleStream)
 	var ctx context.Context
 	ctx, f.cancel = context.WithCancel(context.Background())
--- a/node/join.go
+++ b/node/join.go
@@ -10,7 +10,6 @@
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/gossip"
 	"github.com/godwithub/godwithub/keys"
-	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/link/tlslink"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
@@ -37,7 +36,7 @@
 		p.Mux.Handle(wire.FrameMembers, g.HandleStream)
 		p.Mux.Handle(wire.FrameConfigPull, f.Server().HandlePull)
 		p.Mux.Handle(wire.FrameConfigWatch, f.Server().HandleWatch)
-		return newMembers(g), &follower{f, holder, control}, nil
+		return newMembers(g), &follower{f, holder, ControlDialer{control, set.ControlAddrs}}, nil
 	}
 }
 
@@ -85,7 +84,7 @@
 type follower struct {
 	*distribute.Follower
 	holder  *distribute.Holder
-	control link.Dialer
+	control ControlDialer
 }
 
 // Subscribe implements ConfigSource.
@@ -99,5 +98,8 @@
 // Run implements ConfigSource.
 func (f *follower) Run(ctx context.Context) error {
 	f.Follower.Run(ctx)
-	return f.control.Close()
+	return f.control.Dialer.Close()
 }
+
+// Control implements ConfigSource.
+func (f *follower) Control() ControlDialer { return f.control }
--- a/node/new.go
+++ b/node/new.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/ingress"
@@ -43,6 +44,7 @@
 	n := &Node{
 		set:          set,
 		log:          prefixed(log, "node"),
+		burn:         burn.NewRecorder(),
 		observations: make(chan dispatch.Observation, observationBacklog),
 	}
 	n.crashes = newCrashes(n.spreadCrash)
@@ -86,6 +88,7 @@
 		Log:    prefixed(log, "ingress"),
 		View:   n.board.View,
 		Dialer: n.dialer,
+		Record: n.countFinished,
 		Claims: n.groups.client,
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/ingress"
@@ -41,6 +42,7 @@
 	members    Membership
 	config     ConfigSource
 	crashes    *crashes
+	burn       *burn.Recorder
 	groups     *groups
 
 	observations chan dispatch.Observation
@@ -68,6 +70,8 @@
 	// Subscribe calls f for the present configuration, if any, and newer ones.
 	Subscribe(f func(*resource.Set))
 	Run(ctx context.Context) error
+	// Control returns how to reach the control VMs.
+	Control() ControlDialer
 }
 
 // newLink returns the dialer and listener of the transport in the settings.
@@ -177,6 +181,7 @@
 		g.Go(func() error { return serve(n.debug, n.debugLn) })
 	}
 	g.Go(func() error { n.maintain(run); return nil })
+	g.Go(func() error { n.reportBurn(run, n.config.Control()); return nil })
 	n.log.Info("node is up", "node", n.set.NodeID, "callers", n.callerLn.Addr(), "link", n.listener.Addr())
 	select {
 	case <-ctx.Done():
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -55,6 +55,7 @@
 type fixedConfig struct{ set *resource.Set }
 
 func (c fixedConfig) Subscribe(f func(*resource.Set)) { go f(c.set) }
+func (c fixedConfig) Control() ControlDialer          { return ControlDialer{} }
 func (c fixedConfig) Run(ctx context.Context) error   { <-ctx.Done(); return nil }
 
 func testSet() *resource.Set {
