Bind the claim to the attempt; dispatch locally without a connection

A second stream of an attempt had no claim: if the stream that asked for it broke, the request ran without one and could run twice. A caller that sent a keyed request again while the first run went on got 'unknown' at once. A request whose upstream is beside its ingress went through TLS to the own process. Change: the claim belongs to the attempt; an ingress asks again every 150 ms while another attempt holds the key; link.Pipe carries local streams.

--- a/cmd/godwithub-bench/main.go
+++ b/cmd/godwithub-bench/main.go
@@ -27,6 +27,13 @@
 	latency.Duration(&duration, "", "duration", "length of each run")
 	latency.Int(&repeats, "", "repeats", "runs of each rate")
 	flaggy.AttachSubcommand(latency, 1)
+	callers, routes := 0, 0
+	idle := flaggy.NewSubcommand("idle")
+	idle.Description = "measure nodes without requests, as processes; run it in the repository"
+	idle.Duration(&duration, "", "duration", "length of the observation of each size")
+	idle.Int(&callers, "", "callers", "callers in the configuration")
+	idle.Int(&routes, "", "routes", "routes in the configuration")
+	flaggy.AttachSubcommand(idle, 1)
 	flaggy.Parse()
 	var err error
 	switch {
@@ -34,6 +41,8 @@
 		err = bench.Links{Rates: []int{200, 2000, 5000}, Duration: duration, QUICConns: []int{1, 2, 8}, Out: os.Stdout}.Run()
 	case latency.Used:
 		err = bench.Latency{Rates: []int{200, 2000}, Duration: duration, Repeats: repeats, Out: os.Stdout}.Run()
+	case idle.Used:
+		err = bench.Idle{Sizes: []int{5, 10, 20, 40}, Duration: duration, Callers: callers, Routes: routes, Out: os.Stdout}.Run()
 	default:
 		flaggy.ShowHelpAndExit("a subcommand is needed")
 	}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,201 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/idempotency"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// heldClaims denies every claim.
+type heldClaims struct{ claims atomic.Int64 }
+
+func (h *heldClaims) Claim(context.Context, idempotency.Key, idempotency.AttemptID, time.Time) (idempotency.ClaimResult, error) {
+	h.claims.Add(1)
+	return idempotency.ClaimResult{Status: idempotency.StatusHeld}, nil
+}
+
+func (h *heldClaims) Fence(context.Context, idempotency.Key, idempotency.AttemptID) (idempotency.FenceResult, error) {
+	return idempotency.FenceResult{Status: idempotency.StatusHeld}, nil
+}
+
+func (h *heldClaims) Finish(context.Context, idempotency.Key, idempotency.AttemptID, idempotency.Record) error {
+	return nil
+}
+
+type bench struct {
+	*Dispatcher
+	mux  *link.Mux
+	runs atomic.Int64
+	ann  announce.Announcement
+}
+
+// newBench starts a dispatcher with one upstream u that handles requests by h.
+func newBench(t *testing.T, claims idempotency.Claims, h http.HandlerFunc) *bench {
+	b := &bench{mux: link.NewMux(logging.Discard())}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.runs.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(s.Close)
+	b.Dispatcher = New(Config{
+		Log:           logging.Discard(),
+		Configuration: func() *resource.Config { return nil },
+		Observe:       func(Observation) {},
+		Claims:        claims,
+	})
+	b.Register(b.mux)
+	b.ann = announce.Announcement{ID: "u", Service: "shop", Addr: s.Listener.Addr().String(), Slots: 1, Connections: 10, LeaseMs: 60000}
+	b.Announce(b.ann)
+	return b
+}
+
+func (b *bench) open() link.Stream {
+	near, far := link.Pipe("ingress", "dispatcher")
+	b.mux.Start(far)
+	return near
+}
+
+func orderHead(id string) *wire.AttemptHead {
+	return &wire.AttemptHead{
+		AttemptID: id, RequestID: "r-" + id, Service: "shop", Kind: "order", Upstream: "u", RemainingMs: 5000,
+		Method: "POST", Target: "/orders", Host: "shop.example",
+	}
+}
+
+// begin sends an attempt up to its acknowledgement.
+func begin(t *testing.T, b *bench, head *wire.AttemptHead) link.Stream {
+	s := b.open()
+	assert.NilError(t, wire.Write(s, wire.FrameAttempt, head))
+	assert.NilError(t, wire.Read(s, wire.FrameAck, nil))
+	return s
+}
+
+// finish ends the request and reads the answer.
+func finish(t *testing.T, s link.Stream) (body string, end wire.AnswerEnd) {
+	assert.NilError(t, s.WriteFrame(wire.FrameEnd, nil))
+	return readAnswer(t, s)
+}
+
+func readAnswer(t *testing.T, s link.Stream) (body string, end wire.AnswerEnd) {
+	for {
+		f, err := s.ReadFrame()
+		assert.NilError(t, err)
+		switch f.Type {
+		case wire.FrameData:
+			body += string(f.Payload)
+		case wire.FrameAnswerEnd:
+			assert.NilError(t, wire.Decode(f.Payload, &end))
+			return body, end
+		}
+	}
+}
+
+func answerOK(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "done") }
+
+// Guards against an attempt that runs twice when its ingress sends it again
+// over another connection.
+func TestResentAttemptRunsOnce(t *testing.T) {
+	b := newBench(t, nil, answerOK)
+	first, second := begin(t, b, orderHead("a")), begin(t, b, orderHead("a"))
+	body, end := finish(t, second)
+	assert.Equal(t, body, "done")
+	assert.Equal(t, end.Outcome, outcome.Answered)
+	body, end = finish(t, first)
+	assert.Equal(t, body, "done")
+	assert.Equal(t, end.Outcome, outcome.Answered)
+	assert.Equal(t, b.runs.Load(), int64(1))
+}
+
+// Guards against a request that runs without its claim, because the stream
+// that asked for the claim broke while another one brought the request.
+func TestClaimOutlivesTheStreamThatAskedForIt(t *testing.T) {
+	claims := &heldClaims{}
+	b := newBench(t, claims, answerOK)
+	head := orderHead("a")
+	head.Key = "k"
+	first, second := begin(t, b, head), begin(t, b, head)
+	first.Reset()
+	_, end := finish(t, second)
+	assert.Equal(t, end.Reason, outcome.ReasonHeldByOther)
+	assert.Equal(t, b.runs.Load(), int64(0))
+	assert.Equal(t, claims.claims.Load(), int64(1))
+}
+
+// Guards against a request that runs although its ingress never ended it and
+// told the caller that it has not run.
+func TestAbandonedAttemptNeverRuns(t *testing.T) {
+	b := newBench(t, nil, answerOK)
+	first := begin(t, b, orderHead("a"))
+	first.Reset()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		b.attempts.mu.Lock()
+		defer b.attempts.mu.Unlock()
+		if len(b.attempts.ended) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the attempt has not ended")
+	}, poll.WithDelay(time.Millisecond))
+	_, end := finish(t, begin(t, b, orderHead("a")))
+	assert.Equal(t, end.Outcome, outcome.NotRun)
+	assert.Equal(t, b.runs.Load(), int64(0))
+}
+
+// Guards against work that goes to an upstream after it began to drain, also
+// from its queue.
+func TestDrainRefusesQueuedWork(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, nil, func(w http.ResponseWriter, r *http.Request) { <-release })
+	running, queued := begin(t, b, orderHead("a")), begin(t, b, orderHead("b"))
+	assert.NilError(t, running.WriteFrame(wire.FrameEnd, nil))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.runs.Load() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not running yet")
+	}, poll.WithDelay(time.Millisecond))
+	assert.NilError(t, queued.WriteFrame(wire.FrameEnd, nil))
+	b.ann.Draining = true
+	b.Announce(b.ann)
+	_, end := readAnswer(t, queued)
+	assert.Equal(t, end.Reason, outcome.ReasonDraining)
+	close(release)
+	_, end = readAnswer(t, running)
+	assert.Equal(t, end.Outcome, outcome.Answered)
+	assert.Equal(t, b.runs.Load(), int64(1))
+}
+
+// Guards against answers that are passed off as whole, or as the answer to
+// another request.
+func TestBrokenAnswersAreUnknown(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"short": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			io.WriteString(w, "part")
+			panic(http.ErrAbortHandler)
+		},
+		"crossed": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderRequestID, "another")
+		},
+	} {
+		b := newBench(t, nil, h)
+		_, end := finish(t, begin(t, b, orderHead("a")))
+		assert.Equal(t, end.Outcome, outcome.Unknown, name)
+		assert.Equal(t, b.runs.Load(), int64(1), name)
+	}
+}
--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -29,6 +29,9 @@
 	// ctx ends with the deadline, or when no stream is attached any more.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// claim is set before the attempt is shared. It belongs to the attempt and
+	// not to the stream that came first, which may break.
+	claim *claim
 
 	mu       sync.Mutex
 	attached int
@@ -102,9 +105,9 @@
 
 func newRegistry() *registry { return &registry{attempts: map[string]*attempt{}} }
 
-// attach returns the attempt called id, which it adds if it is new, and counts
-// a stream that waits for it.
-func (r *registry) attach(id string, deadline time.Time) (a *attempt, isNew bool) {
+// attach returns the attempt called id and counts a stream that waits for it.
+// A new attempt is passed to begin before others see it.
+func (r *registry) attach(id string, deadline time.Time, begin func(*attempt)) (a *attempt, isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(time.Now())
@@ -112,6 +115,7 @@
 	if a == nil {
 		a = &attempt{id: id, done: make(chan struct{})}
 		a.ctx, a.cancel = context.WithDeadline(context.Background(), deadline)
+		begin(a)
 		r.attempts[id] = a
 		isNew = true
 	}
@@ -136,6 +140,7 @@
 		a.cancel()
 	}
 	if abandoned {
+		a.claim.abandon()
 		r.finish(a, wire.AnswerEnd{Outcome: outcome.NotRun, Reason: outcome.ReasonCanceled})
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -47,7 +47,8 @@
 
 // run takes an attempt through admission, claim and the upstream, and writes
 // the answer to w.
-func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body []byte, c *claim, w *answerWriter) wire.AnswerEnd {
+func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body []byte, w *answerWriter) wire.AnswerEnd {
+	c := a.claim
 	u, leaving, done := d.begin(fleet.UpstreamID(head.Upstream))
 	defer done()
 	switch {
@@ -79,7 +80,7 @@
 		return ended(u, outcome.HasNotRun(outcome.ReasonDraining))
 	}
 	began := time.Now()
-	e, result := d.exchange(a, u, head, body, c, w)
+	e, result := d.exchange(a, u, head, body, w)
 	service := time.Since(began)
 	if result == ResultBroken && d.checkCrash(u) {
 		// A crash shows by itself; it is no sign of a gray failure.
@@ -132,7 +133,7 @@
 const leastUrgent = 31
 
 // exchange sends the request to the upstream and passes the answer on.
-func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body []byte, c *claim, w *answerWriter) (outcome.Ended, Result) {
+func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body []byte, w *answerWriter) (outcome.Ended, Result) {
 	ctx := a.ctx
 	if !head.Idempotent {
 		// A request that may not run twice is not cut off half-way when its
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -29,17 +29,13 @@
 		return
 	}
 	d.stats.attempts.Add(1)
-	a, isNew := d.attempts.attach(head.AttemptID, deadline)
-	var claim *claim
-	if isNew {
-		claim = d.beginClaim(a, head)
-	} else {
+	a, isNew := d.attempts.attach(head.AttemptID, deadline, func(a *attempt) { a.claim = d.beginClaim(a, head) })
+	if !isNew {
 		d.stats.duplicates.Add(1)
 	}
 	body, err := readBody(s, head, deadline)
 	if err != nil {
 		d.attempts.detach(a)
-		claim.abandon()
 		s.Reset()
 		return
 	}
@@ -50,7 +46,7 @@
 	w := newAnswerWriter(s, a, head)
 	stop := d.watch(a, s)
 	w.keepAlive()
-	end := d.run(a, head, body, claim, w)
+	end := d.run(a, head, body, w)
 	d.attempts.finish(a, end)
 	stop()
 	d.count(end.Outcome)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -89,6 +89,9 @@
 		}
 		last = settle(last, e, mayHaveRun)
 		mayHaveRun = mayHaveRun || e.Outcome != outcome.NotRun
+		if s.waitForHolder(ctx, e) {
+			continue
+		}
 		if !s.again(budget, e) {
 			return last
 		}
@@ -112,6 +115,28 @@
 	return last
 }
 
+// holderPoll is the time between questions for the outcome of a request whose
+// key another attempt holds.
+const holderPoll = 150 * time.Millisecond
+
+// waitForHolder waits a little and returns true if another attempt holds the
+// request's key and may finish before the deadline. A caller that lost its
+// connection and sent the request again then gets the answer of the first run.
+func (s *serving) waitForHolder(ctx context.Context, e outcome.Ended) bool {
+	if e != outcome.MayHaveRun(outcome.ReasonHeldByOther) || time.Until(s.rq.deadline) < 2*holderPoll {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(holderPoll):
+		// Any upstream may be asked: the claim decides, not the upstream.
+		s.tried = nil
+		s.v = s.in.cfg.View()
+		return true
+	}
+}
+
 // again reports whether another attempt follows one that ended with e.
 func (s *serving) again(budget *lockedBudget, e outcome.Ended) bool {
 	if s.out.begun {
--- a/link/mux.go
+++ b/link/mux.go
@@ -20,10 +20,20 @@
 	log      *slog.Logger
 	handlers map[FrameType]Handler
 	active   sync.WaitGroup
+	// ctx is that of handlers of streams that Start was given.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // NewMux returns a mux without handlers.
-func NewMux(log *slog.Logger) *Mux { return &Mux{log: log, handlers: map[FrameType]Handler{}} }
+func NewMux(log *slog.Logger) *Mux {
+	m := &Mux{log: log, handlers: map[FrameType]Handler{}}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	return m
+}
+
+// Start serves a stream that did not come from a listener, until Serve ends.
+func (m *Mux) Start(s Stream) { m.active.Go(func() { m.serveStream(m.ctx, s) }) }
 
 // Handle registers the handler of a frame type. It is called before Serve.
 func (m *Mux) Handle(t FrameType, h Handler) { m.handlers[t] = h }
@@ -31,6 +41,7 @@
 // Serve accepts streams from l until it is closed or ctx ends. Each handler
 // runs in its own goroutine, with ctx. Serve returns nil when l was closed.
 func (m *Mux) Serve(ctx context.Context, l Listener) error {
+	defer m.cancel()
 	for {
 		s, err := l.Accept(ctx)
 		switch {
--- a/node/debug.go
+++ b/node/debug.go
@@ -21,6 +21,9 @@
 		"evidence": expvar.Func(func() any { return map[string]int64{"dropped": n.dropped.Value()} }),
 		"memstats": expvar.Get("memstats"),
 	}
+	for name, f := range n.stats {
+		vars[name] = expvar.Func(f)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { writeVars(w, vars) })
 	mux.HandleFunc("GET /healthz", n.serveHealth)
--- a/node/join.go
+++ b/node/join.go
@@ -36,6 +36,8 @@
 		p.Mux.Handle(wire.FrameMembers, g.HandleStream)
 		p.Mux.Handle(wire.FrameConfigPull, f.Server().HandlePull)
 		p.Mux.Handle(wire.FrameConfigWatch, f.Server().HandleWatch)
+		p.Stats["gossip"] = func() any { return g.Stats() }
+		p.Stats["distribute"] = func() any { return f.Stats() }
 		return newMembers(g), &follower{f, holder, ControlDialer{control, set.ControlAddrs}}, nil
 	}
 }
--- a/node/new.go
+++ b/node/new.go
@@ -27,6 +27,8 @@
 	Mux    *link.Mux
 	Dialer link.Dialer
 	Log    *slog.Logger
+	// Stats takes functions that return counters for the metrics, by part.
+	Stats map[string]func() any
 }
 
 // Join connects a node to membership and configuration.
@@ -45,6 +47,7 @@
 		set:          set,
 		log:          prefixed(log, "node"),
 		burn:         burn.NewRecorder(),
+		stats:        map[string]func() any{},
 		observations: make(chan dispatch.Observation, observationBacklog),
 	}
 	n.crashes = newCrashes(n.spreadCrash)
@@ -61,12 +64,14 @@
 	}
 	n.board = board.New(self, prefixed(log, "board"), n.perform, board.Controllers()...)
 	n.mux = link.NewMux(prefixed(log, "link"))
+	n.dialer = &link.LocalDialer{Dialer: n.dialer, Addr: set.LinkAddr, Name: set.NodeID, Mux: n.mux}
 	n.groups = n.newGroups(log)
 	n.buildTraffic(log)
-	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log})
+	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log, n.stats})
 	if err != nil {
 		return nil, err
 	}
+	n.stats["groups"] = func() any { return n.groups.host.Statuses() }
 	n.groups.start(n, n.members.Incarnation(), log)
 	return n, n.listen(log)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,8 @@
 
 	observations chan dispatch.Observation
 	dropped      expvar.Int // observations
+	// stats are the counters of parts that join the node, by name.
+	stats map[string]func() any
 	// background ends the exchanges that the board asks for.
 	background context.Context
 
