health: test all kinds together besides each kind

Change: a pair of tests on the summed evidence of all kinds; the thresholds count 8 tests per attempt instead of 4.

--- a/health/detector.go
+++ b/health/detector.go
@@ -54,6 +54,11 @@
 	attempts int     // in the interval under way
 	rate     float64 // attempts per second, moving average
 
+	// The tests over all kinds find a change that all kinds share sooner than
+	// those of each kind.
+	fast     tests
+	ejection tests
+
 	suspectUntil time.Time
 	suspect      Verdict
 	hold         time.Duration
@@ -63,11 +68,14 @@
 type kind struct {
 	current  bin
 	pending  []bin
-	fast     struct{ failures, slow cusum }
-	ejection struct{ failures, slow cusum }
+	fast     tests
+	ejection tests
 	bad      float64 // recent share of bad attempts
 }
 
+// tests are those on failures and on latency.
+type tests struct{ failures, slow cusum }
+
 // bin counts the attempts of one interval.
 type bin struct {
 	seq               uint64
@@ -94,6 +102,7 @@
 // Reset drops the evidence, for instance when an ejected upstream returns.
 func (d *Detector) Reset() {
 	d.kinds = map[string]*kind{}
+	d.fast, d.ejection = tests{}, tests{}
 	d.suspectUntil, d.suspect, d.hold = time.Time{}, Verdict{}, suspectHold
 }
 
@@ -138,20 +147,24 @@
 	h := threshold(d.options.FalseSuspicions, d.rate)
 	limit := limitShare * h
 	if r != TimedOut {
-		k.fast.failures.add(failureParameters(b), count(r == Failed), 1, limit, h)
+		e := failureParameters(b).evidence(count(r == Failed), 1)
+		k.fast.failures.add(e, limit, h)
+		d.fast.failures.add(e, limit, h)
 	}
 	// A timeout below the limit says nothing: the attempt was not given more.
 	slow := bucketOf(latency) > b.SlowBucket
 	if r == Succeeded || r == TimedOut && slow {
-		k.fast.slow.add(slowParameters(b), count(slow), 1, limit, h)
+		e := slowParameters(b).evidence(count(slow), 1)
+		k.fast.slow.add(e, limit, h)
+		d.fast.slow.add(e, limit, h)
 	}
 	switch {
-	case k.fast.failures.large >= h:
+	case max(k.fast.failures.large, d.fast.failures.large) >= h:
 		d.raise(now, Verdict{Suspect, name, CauseFailures, k.bad})
-		k.fast.failures = cusum{}
-	case k.fast.slow.large >= h:
+		k.fast.failures, d.fast.failures = cusum{}, cusum{}
+	case max(k.fast.slow.large, d.fast.slow.large) >= h:
 		d.raise(now, Verdict{Suspect, name, CauseLatency, k.bad})
-		k.fast.slow = cusum{}
+		k.fast.slow, d.fast.slow = cusum{}, cusum{}
 	}
 }
 
@@ -207,6 +220,7 @@
 // Each interval is tested against the worse of both.
 func (d *Detector) Update(b Baseline) {
 	d.baseline = b
+	var failures, slow evidence
 	for name, k := range d.kinds {
 		kb := b.Kind(name)
 		if kb == nil || kb.Peers < minPeers {
@@ -218,13 +232,18 @@
 				p.judge(kb)
 			}
 			if p.seq < b.Seq {
-				d.test(k, &p)
+				f, s := d.test(k, &p)
+				failures.add(f)
+				slow.add(s)
 				continue
 			}
 			kept = append(kept, p)
 		}
 		k.pending = kept
 	}
+	h := threshold(d.options.FalseEjections, d.rate)
+	d.ejection.failures.add(failures, limitShare*h, stepShare*h)
+	d.ejection.slow.add(slow, limitShare*h, stepShare*h)
 }
 
 // judge remembers the worse of the baselines of an interval.
@@ -238,32 +257,46 @@
 	b.worst.SlowRate = max(b.worst.SlowRate, kb.SlowRate)
 }
 
-// test adds the evidence of one interval to the ejection tests.
-func (d *Detector) test(k *kind, b *bin) {
+// test adds the evidence of one interval to the ejection tests of its kind and
+// returns it.
+func (d *Detector) test(k *kind, b *bin) (failures, slow evidence) {
 	h := threshold(d.options.FalseEjections, d.rate)
-	limit, step := limitShare*h, stepShare*h
-	k.ejection.failures.add(failureParameters(&b.worst), b.failed, b.failed+b.succeeded, limit, step)
-	slow := b.latencies.Above(b.worst.SlowBucket)
+	failures = failureParameters(&b.worst).evidence(b.failed, b.failed+b.succeeded)
+	above := b.latencies.Above(b.worst.SlowBucket)
 	timely := b.timeouts.Total() - b.timeouts.Above(b.worst.SlowBucket)
 	attempts := b.latencies.Total() - timely
-	k.ejection.slow.add(slowParameters(&b.worst), slow, attempts, limit, step)
-	bad := float64(b.failed+slow) / math.Max(float64(b.failed+attempts), 1)
+	slow = slowParameters(&b.worst).evidence(above, attempts)
+	k.ejection.failures.add(failures, limitShare*h, stepShare*h)
+	k.ejection.slow.add(slow, limitShare*h, stepShare*h)
+	bad := float64(b.failed+above) / math.Max(float64(b.failed+attempts), 1)
 	k.bad += (bad - k.bad) / severityWindow
+	return failures, slow
 }
 
-// Verdict returns the state of the upstream.
+// Verdict returns the state of the upstream. If a test over all kinds is the
+// strongest, Kind is the kind with most bad attempts.
 func (d *Detector) Verdict(now time.Time) Verdict {
 	v := Verdict{}
 	h := threshold(d.options.FalseEjections, d.rate)
 	strongest := h
-	for name, k := range d.kinds {
-		if e := k.ejection.failures.value(); e >= strongest {
-			strongest, v = e, Verdict{Sick, name, CauseFailures, k.bad}
+	consider := func(t *tests, name string, bad float64) {
+		if e := t.failures.value(); e >= strongest {
+			strongest, v = e, Verdict{Sick, name, CauseFailures, bad}
 		}
-		if e := k.ejection.slow.value(); e >= strongest {
-			strongest, v = e, Verdict{Sick, name, CauseLatency, k.bad}
+		if e := t.slow.value(); e >= strongest {
+			strongest, v = e, Verdict{Sick, name, CauseLatency, bad}
 		}
 	}
+	worst, bad := "", 0.0
+	for name, k := range d.kinds {
+		if k.bad > bad || k.bad == bad && name < worst {
+			worst, bad = name, k.bad
+		}
+	}
+	consider(&d.ejection, worst, bad)
+	for name, k := range d.kinds {
+		consider(&k.ejection, name, k.bad)
+	}
 	if v.Level == Healthy && now.Before(d.suspectUntil) {
 		return d.suspect
 	}
--- a/health/test.go
+++ b/health/test.go
@@ -47,6 +47,22 @@
 // usable reports whether a rate can be told from the peers' rate at all.
 func (p parameters) usable() bool { return p.p0 < maxTolerated }
 
+// evidence is a log likelihood ratio for a small and for a large change.
+type evidence struct{ small, large float64 }
+
+// evidence returns what events in attempts say.
+func (p parameters) evidence(events, attempts int) evidence {
+	if !p.usable() || attempts == 0 {
+		return evidence{}
+	}
+	return evidence{p.ratio(p.small, events, attempts), p.ratio(p.large, events, attempts)}
+}
+
+func (e *evidence) add(o evidence) {
+	e.small += o.small
+	e.large += o.large
+}
+
 // ratio returns the log likelihood ratio of p1 against p0 after events in
 // attempts.
 func (p parameters) ratio(p1 float64, events, attempts int) float64 {
@@ -58,14 +74,11 @@
 // average if the true rate is p0 or less.
 type cusum struct{ small, large float64 }
 
-// add takes in events in attempts. limit bounds the value, so that a long
-// illness is forgotten in bounded time, and step the change of one call.
-func (c *cusum) add(p parameters, events, attempts int, limit, step float64) {
-	if !p.usable() || attempts == 0 {
-		return
-	}
-	c.small = bounded(c.small, p.ratio(p.small, events, attempts), limit, step)
-	c.large = bounded(c.large, p.ratio(p.large, events, attempts), limit, step)
+// add takes in evidence. limit bounds the value, so that a long illness is
+// forgotten in bounded time, and step the change of one call.
+func (c *cusum) add(e evidence, limit, step float64) {
+	c.small = bounded(c.small, e.small, limit, step)
+	c.large = bounded(c.large, e.large, limit, step)
 }
 
 func bounded(value, change, limit, step float64) float64 {
@@ -74,14 +87,14 @@
 
 func (c *cusum) value() float64 { return max(c.small, c.large) }
 
-// testsPerKind is the number of CUSUM tests of one kind: small and large, on
-// failures and on latency.
-const testsPerKind = 4
+// testsPerAttempt is the number of CUSUM tests that an attempt takes part in:
+// small and large, on failures and on latency, of its kind and of all kinds.
+const testsPerAttempt = 8
 
 // threshold returns the value at which a test alarms, for a rate of false
 // alarms per day over all tests of an upstream with the given attempts per
-// second. Each attempt takes part in testsPerKind tests.
+// second.
 func threshold(alarmsPerDay, attemptsPerSecond float64) float64 {
 	const secondsPerDay = 86400
-	return math.Log(testsPerKind * secondsPerDay * max(attemptsPerSecond, 1) / alarmsPerDay)
+	return math.Log(testsPerAttempt * secondsPerDay * max(attemptsPerSecond, 1) / alarmsPerDay)
 }
