standin: free the slot before the answer leaves

Cause: a dispatcher that had the whole answer sent its next request before the stand-in's handler had given the slot back, and was refused now and then. Change: the slot is given back at the end of the run, before the answer. The flood scripts judge shares of answered requests, since counts of Poisson arrivals failed by chance; the load report has the share. Conclusion: sheds by the stand-in now mean that the dispatcher exceeded its slots.

--- a/loadgen/report.go
+++ b/loadgen/report.go
@@ -25,7 +25,8 @@
 type KindReport struct {
 	Kind string `json:"kind"`
 	Counts
-	LatencyMs Latency `json:"latencyMs"`
+	AnsweredShare float64 `json:"answeredShare"` // of those sent; 0 if none was
+	LatencyMs     Latency `json:"latencyMs"`
 }
 
 // PhaseReport is the result of the requests planned from From on.
@@ -67,7 +68,11 @@
 		all.Merge(c.answered)
 		c.mu.Unlock()
 	}
-	return KindReport{Kind: name, Counts: counts, LatencyMs: latencyOf(all)}
+	r := KindReport{Kind: name, Counts: counts, LatencyMs: latencyOf(all)}
+	if r.Sent > 0 {
+		r.AnsweredShare = float64(r.Answered) / float64(r.Sent)
+	}
+	return r
 }
 
 // judge lists the checks that failed.
@@ -93,8 +98,8 @@
 	limit(both.Overflow, s.AllowOverflow, "requests not sent for the bound in flight")
 	if t := &r.Total; t.Sent == 0 {
 		fail("no request was sent")
-	} else if share := float64(t.Answered) / float64(t.Sent); share < s.MinAnswered {
-		fail("%.4f of the requests were answered, %.4f required", share, s.MinAnswered)
+	} else if t.AnsweredShare < s.MinAnswered {
+		fail("%.4f of the requests were answered, %.4f required", t.AnsweredShare, s.MinAnswered)
 	}
 }
 
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -51,7 +51,6 @@
 		u.refuse(w, job, reason)
 		return
 	}
-	defer func() { <-u.slots }()
 	u.run(w, r, job)
 }
 
@@ -118,7 +117,10 @@
 	u.answer(w, job, status, &faults)
 }
 
+// end records the end of a run and frees its slot. This precedes the answer, so
+// that the slot is free when a client that has the answer sends its next request.
 func (u *Standin) end(job *work, result string) {
+	<-u.slots
 	e := u.event(EventEnd, job, result)
 	e.Started = &job.started
 	u.runs.write(e)
