--- a/node/new.go
+++ b/node/new.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/ingress"
@@ -43,6 +44,7 @@
 	n := &Node{
 		set:          set,
 		log:          prefixed(log, "node"),
+		burn:         burn.NewRecorder(),
 		observations: make(chan dispatch.Observation, observationBacklog),
 	}
 	n.crashes = newCrashes(n.spreadCrash)
@@ -59,11 +61,13 @@
 	}
 	n.board = board.New(self, prefixed(log, "board"), n.perform, board.Controllers()...)
 	n.mux = link.NewMux(prefixed(log, "link"))
+	n.groups = n.newGroups(log)
 	n.buildTraffic(log)
 	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log})
 	if err != nil {
 		return nil, err
 	}
+	n.groups.start(n, n.members.Incarnation(), log)
 	return n, n.listen(log)
 }
 
@@ -75,6 +79,7 @@
 		Configuration: configuration,
 		Observe:       n.observe,
 		Crashes:       n.crashes,
+		Claims:        n.groups.client,
 	})
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
@@ -83,6 +88,8 @@
 		Log:    prefixed(log, "ingress"),
 		View:   n.board.View,
 		Dialer: n.dialer,
+		Record: n.countFinished,
+		Claims: n.groups.client,
 	})
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -48,12 +48,14 @@
 	}
 }
 
+func (h *hub) Incarnation() uint64         { return 1 }
 func (h *hub) Leave(context.Context) error { return nil }
 func (h *hub) Close() error                { return nil }
 
 type fixedConfig struct{ set *resource.Set }
 
 func (c fixedConfig) Subscribe(f func(*resource.Set)) { go f(c.set) }
+func (c fixedConfig) Control() ControlDialer          { return ControlDialer{} }
 func (c fixedConfig) Run(ctx context.Context) error   { <-ctx.Done(); return nil }
 
 func testSet() *resource.Set {
