balance: let an answer larger than the byte budget cross

Cause: split over hundreds of nodes, the link gives a node a few KB/s, so that no ordinary answer fitted the budget and nothing would cross. Change: such an answer passes when the budget is full and leaves a debt.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -125,3 +125,16 @@
 	b.Correct(now, int64(perSecond))
 	assert.Assert(t, !b.Allow(now, 0, size))
 }
+
+// Guards against an answer that never crosses because it is larger than a
+// small node's budget, and against its bytes not being paid for.
+func TestLargeAnswersCrossAtTheRate(t *testing.T) {
+	b := NewByteBudget(ByteOptions{LinkBytesPerSecond: 1000, Burst: time.Second, Levels: 3})
+	sent := 0
+	for ms := range int64(100_000) {
+		if b.Allow(time.UnixMilli(ms), 2, 5000) {
+			sent += 5000
+		}
+	}
+	assert.Assert(t, sent >= 80_000 && sent <= 106_000, "%d bytes", sent)
+}
--- a/balance/bytes.go
+++ b/balance/bytes.go
@@ -53,21 +53,27 @@
 func (b *ByteBudget) Enough(now time.Time, level int, bytes int64) bool {
 	level = min(max(level, 0), b.levels-1)
 	reserve := b.burst * float64(level) / float64(b.levels)
-	return b.limiter.TokensAt(now)-float64(bytes) >= reserve
+	// An answer larger than the budget can hold passes when the budget is full.
+	need := min(float64(bytes), b.burst-reserve)
+	return b.limiter.TokensAt(now)-need >= reserve
 }
 
 // Allow takes the expected bytes of a request and its answer from the budget
 // and reports whether there was enough. Less urgent levels must leave more of
 // the budget over, so that it is the urgent ones that get the last of it.
 func (b *ByteBudget) Allow(now time.Time, level int, bytes int64) bool {
-	return b.Enough(now, level, bytes) && b.limiter.AllowN(now, int(bytes))
+	if !b.Enough(now, level, bytes) {
+		return false
+	}
+	b.Correct(now, bytes)
+	return true
 }
 
-// Correct accounts for bytes beyond those that Allow was asked for. The budget
-// can go into debt, which later requests wait for.
+// Correct takes bytes beyond those that Allow was asked for. The budget can go
+// into debt, which later requests wait for.
 func (b *ByteBudget) Correct(now time.Time, extra int64) {
 	for extra > 0 {
-		part := min(extra, int64(b.burst))
+		part := min(extra, max(int64(b.burst), 1))
 		b.limiter.ReserveN(now, int(part))
 		extra -= part
 	}
