health: bound how often a pool computes its baseline

Cause: the aggregator looked at all upstreams for each summary, which grows with the square of a service's size. Change: at most once per upstream and millisecond, at least each 250 ms.

--- a/health/pool.go
+++ b/health/pool.go
@@ -26,6 +26,10 @@
 	// priorCount is the weight of the long rate in the recent one, so that one
 	// failure among a few attempts doesn't hide a sick upstream.
 	priorCount = 20
+	// The baseline of a large service is computed at most once in poolCost per
+	// upstream, and at least once in maxPoolAge, since it looks at all of them.
+	poolCost   = time.Millisecond
+	maxPoolAge = 250 * time.Millisecond
 	// maxPoolKinds bounds the kinds of a service in the pool.
 	maxPoolKinds = 256
 )
@@ -34,6 +38,7 @@
 type Pool struct {
 	members map[fleet.UpstreamID]*member
 	cached  []KindBaseline
+	made    time.Time // when cached was computed
 	dirty   bool
 }
 
@@ -104,9 +109,10 @@
 			p.Remove(id)
 		}
 	}
-	if p.dirty {
+	age := min(time.Duration(len(p.members))*poolCost, maxPoolAge)
+	if p.dirty && now.Sub(p.made) >= age {
 		p.cached = p.baselines()
-		p.dirty = false
+		p.made, p.dirty = now, false
 	}
 	b := Baseline{Kinds: p.cached}
 	if m := p.members[u]; m != nil {
