--- a/health/health_test.go
+++ b/health/health_test.go
@@ -168,3 +168,29 @@
 	}
 	assert.Equal(t, len(p.Baseline(now, "u").Kinds), 0)
 }
+
+// Guards against more false alarms than stated, at the highest tolerated rate.
+func TestFalseAlarmRate(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	const attemptsPerSecond, alarmsPerDay, attempts = 10, 20_000, 1_000_000
+	h := threshold(alarmsPerDay, attemptsPerSecond)
+	for _, peers := range []float64{0, 0.005, 0.05, 0.2} {
+		for _, p := range []parameters{
+			failureParameters(&KindBaseline{FailureRate: peers}), slowParameters(&KindBaseline{SlowRate: peers}),
+		} {
+			alarms := 0
+			var c cusum
+			for range attempts {
+				c.add(p.evidence(count(r.Float64() < p.p0), 1), 2*h, h)
+				if c.value() >= h {
+					alarms++
+					c = cusum{}
+				}
+			}
+			// Two of an attempt's tests take part.
+			stated := float64(alarmsPerDay) * attempts / (86400 * attemptsPerSecond) * 2 / testsPerAttempt
+			t.Logf("peers %.3f, tolerated %.3f: %d alarms, %.0f stated", peers, p.p0, alarms, stated)
+			assert.Assert(t, float64(alarms) <= stated, "peers %.3f: %d alarms, %.0f stated", peers, alarms, stated)
+		}
+	}
+}
