gossip: probe through another region; never announce a lower configuration

SetLocal with a node read earlier could lower the announced configuration version. The announced version only rises. Traffic not measured. Conclusion: a third region carries probes around the cut.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
 )
 
 // maxTombstones bounds the upstreams that a node announces as gone. Beyond it
@@ -124,14 +125,23 @@
 	}
 	c.setMeta(n)
 	c.setUpstreams(n.Upstreams)
-	notice := c.self.config != n.Config
-	c.self.config = n.Config
-	switch {
-	case c.queue.hasFresh():
-		c.push(now, true)
-	case notice:
+	if risen := c.raiseConfig(n.Config); risen && !c.queue.hasFresh() {
 		c.pushNotice()
 	}
+	if c.queue.hasFresh() {
+		c.push(now, true)
+	}
+}
+
+// raiseConfig takes the version of the own configuration unless it is lower: a
+// configuration never reverts, and a caller may have read it before it rose.
+func (c *core) raiseConfig(v resource.Version) (risen bool) {
+	if !c.self.config.Less(v) {
+		return false
+	}
+	c.self.config = v
+	c.changed[c.self.id] = true
+	return true
 }
 
 // setOwnState moves the own node to a later state: leaving or dead.
--- a/gossip/core_test.go
+++ b/gossip/core_test.go
@@ -34,6 +34,22 @@
 	}
 }
 
+// Guards against a one-way cut between two regions being taken for the death
+// of one of them while a third reaches both.
+func TestOneWayCutBetweenRegionsIsNotADeath(t *testing.T) {
+	s := newSim(t, 18, 3, 14)
+	s.cut = func(from, to string) bool { return indexOf(from)%3 == 0 && indexOf(to)%3 == 1 }
+	s.run(2 * time.Minute)
+	for i := range 18 {
+		assert.Assert(t, !s.everDead(i), "node %d", i)
+	}
+	suspicions := uint64(0)
+	for _, c := range s.nodes {
+		suspicions += c.counters.Suspicions.Load()
+	}
+	assert.Equal(t, suspicions, uint64(0), "the third region carries the probes")
+}
+
 // Guards against a node that receives nothing spreading deaths of others.
 func TestDeafNodeDoesNotKillOthers(t *testing.T) {
 	s := newSim(t, 10, 2, 2)
@@ -318,6 +334,9 @@
 		c.setLocal(s.now, local)
 		s.collect(c)
 	}
+	local.Config = resource.Version{Epoch: 1, Revision: 1}
+	c.setLocal(s.now, local) // read before the version rose
+	local.Config.Revision = 3
 	s.run(100 * time.Millisecond)
 	told := 0
 	for o := 1; o < 8; o++ {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -204,11 +204,11 @@
 }
 
 // SetConfig announces the configuration version in force at this node, and
-// leaves the rest as it was announced last.
+// leaves the rest as it was announced last. A lower version than before is
+// ignored, also by SetLocal.
 func (g *Gossip) SetConfig(v resource.Version) {
 	g.do(func(c *core, now time.Time) {
-		if c.self.config != v {
-			c.self.config = v
+		if c.raiseConfig(v) {
 			c.pushNotice()
 		}
 	})
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
@@ -189,15 +190,28 @@
 // once more.
 func (c *core) probeIndirectly() {
 	p := &c.probing
-	c.views()
-	helpers := c.choose(c.local, c.cfg.IndirectProbes, p.target.id)
-	helpers = append(helpers, c.choose(c.remote, c.cfg.IndirectProbes-len(helpers), p.target.id)...)
-	for _, h := range helpers {
+	for _, h := range c.helpers(p.target) {
 		c.send(h.id, h.meta.GossipAddr, kindIndirect, p.current, p.target.id)
 	}
 	c.send(p.target.id, p.target.meta.GossipAddr, kindPing, p.current, "")
 }
 
+// helpers returns members to probe the target indirectly. One of them is of
+// another region, and not of the target's where possible: when the way from
+// this region to the target's is cut, nobody here reaches it.
+func (c *core) helpers(target *member) []*member {
+	c.views()
+	var out []*member
+	for _, m := range c.choose(c.remote, regionSample*c.cfg.IndirectProbes, target.id) {
+		if len(out) == 0 || out[0].meta.Region == target.meta.Region && m.meta.Region != target.meta.Region {
+			out = append(out[:0], m)
+		}
+	}
+	out = append(out, c.choose(c.local, c.cfg.IndirectProbes-len(out), target.id)...)
+	more := c.choose(c.remote, c.cfg.IndirectProbes-len(out), target.id)
+	return append(out, slices.DeleteFunc(more, func(m *member) bool { return slices.Contains(out, m) })...)
+}
+
 func (c *core) probeFailed(now time.Time) {
 	p := &c.probing
 	m := p.target
