Add the replicated table of idempotency claims

Cause: a request that is not idempotent must run at most once, also when its caller sends it again through another node. A NotRun record frees the key for other attempts.

--- /dev/null
+++ b/idempotency/types.go
@@ -0,0 +1,192 @@
+package idempotency
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Key identifies a request of a caller. The same value under another service,
+// kind or caller is another request.
+type Key struct {
+	Service string `cbor:"1,keyasint"`
+	Kind    string `cbor:"2,keyasint"`
+	Caller  string `cbor:"3,keyasint"`
+	Value   string `cbor:"4,keyasint"` // of the Idempotency-Key header
+}
+
+// id returns the key as one string.
+func (k Key) id() string {
+	return strings.Join([]string{k.Service, k.Kind, k.Caller, k.Value}, "\x00")
+}
+
+// AttemptID identifies one attempt at a request, unique in the fleet.
+type AttemptID string
+
+// Limits of a table. All replicas of a group use the same.
+const (
+	// MaxAnswer is the largest answer that is kept, in bytes of headers and body.
+	MaxAnswer = 16 << 10
+	// MaxFenced bounds the fenced attempts that are remembered for one key.
+	MaxFenced = 64
+	// MaxClaimLife is the longest time from a claim to its expiry. It is longer
+	// than the longest deadline of a request kind. A fence is remembered for at
+	// least as long, since later claims of its attempt have expired.
+	MaxClaimLife = 15 * time.Minute
+	// MaxClockSkew is how far any two clocks of callers and nodes may differ.
+	MaxClockSkew = 30 * time.Second
+)
+
+// Record is how the attempt that held a key ended.
+type Record struct {
+	Outcome outcome.Outcome `cbor:"1,keyasint"`
+	Reason  outcome.Reason  `cbor:"2,keyasint,omitempty"`
+	// Status, Headers and Body are the answer, if Outcome is Answered.
+	Status  int           `cbor:"3,keyasint,omitempty"`
+	Headers []wire.Header `cbor:"4,keyasint,omitempty"`
+	Body    []byte        `cbor:"5,keyasint,omitempty"`
+	// AnswerGone says that the request was answered but the answer is not kept,
+	// because it was larger than MaxAnswer or the table was full.
+	AnswerGone bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Ended returns the outcome for a request that is sent again.
+func (r *Record) Ended() outcome.Ended {
+	if r.AnswerGone {
+		return outcome.MayHaveRun(outcome.ReasonAnswerGone)
+	}
+	return outcome.Ended{Outcome: r.Outcome, Reason: r.Reason}
+}
+
+// answerBytes returns the size of the answer.
+func (r *Record) answerBytes() int {
+	n := len(r.Body)
+	for _, h := range r.Headers {
+		n += len(h.Name) + len(h.Value)
+	}
+	return n
+}
+
+// Status is the result of an operation on a key.
+type Status uint8
+
+// Results of operations. The zero value is none of them.
+const (
+	// StatusGranted: the attempt holds the key and may run.
+	StatusGranted Status = iota + 1
+	// StatusHeld: an attempt holds the key and has not finished. For a fence,
+	// it is the attempt to be fenced.
+	StatusHeld
+	// StatusFenced: the attempt has not run and will not run.
+	StatusFenced
+	// StatusFinished: the attempt that held the key has ended; see the record.
+	StatusFinished
+	// StatusAbandoned: the attempt that held the key did not finish in its time.
+	// It may have run.
+	StatusAbandoned
+	// StatusOldKey: the key may have had an entry that is forgotten. The request
+	// may have run.
+	StatusOldKey
+	// StatusExpired: the claim arrived after its own expiry and is not granted.
+	StatusExpired
+	// StatusFull: the table has no room. Nothing was changed.
+	StatusFull
+	// StatusRecorded: the record is kept.
+	StatusRecorded
+	// StatusNotHolder: the attempt does not hold the key; nothing was changed.
+	StatusNotHolder
+)
+
+// String returns the status as written in logs.
+func (s Status) String() string {
+	return [...]string{"none", "granted", "held", "fenced", "finished", "abandoned", "old-key",
+		"expired", "full", "recorded", "not-holder"}[min(s, StatusNotHolder)]
+}
+
+// ClaimResult is the result of a claim: StatusGranted, StatusHeld,
+// StatusFenced, StatusFinished, StatusAbandoned, StatusOldKey, StatusExpired or
+// StatusFull.
+type ClaimResult struct {
+	Status Status
+	Record *Record // for StatusFinished
+}
+
+// Ended returns how the request ends for a claimant that was not granted the
+// key.
+func (r ClaimResult) Ended() outcome.Ended {
+	switch r.Status {
+	case StatusFinished:
+		return r.Record.Ended()
+	case StatusFenced:
+		return outcome.HasNotRun(outcome.ReasonFenced)
+	case StatusExpired:
+		return outcome.HasNotRun(outcome.ReasonDeadline)
+	case StatusFull:
+		return outcome.HasNotRun(outcome.ReasonClaimFailed)
+	case StatusOldKey:
+		return outcome.MayHaveRun(outcome.ReasonOldKey)
+	case StatusAbandoned:
+		return outcome.MayHaveRun(outcome.ReasonLostDispatcher)
+	default:
+		return outcome.MayHaveRun(outcome.ReasonHeldByOther)
+	}
+}
+
+// FenceResult is the result of a fence: StatusFenced, StatusHeld,
+// StatusFinished, StatusAbandoned, StatusOldKey or StatusFull. Only
+// StatusFenced means that the attempt has not run.
+type FenceResult struct {
+	Status Status
+	Record *Record // for StatusFinished
+}
+
+// Claims is what the traffic parts use.
+//
+// An error means that the operation may or may not have been carried out. After
+// an error of Claim, the attempt must not run; Finish with a NotRun record then
+// frees the key for other attempts, whether or not the claim was granted.
+type Claims interface {
+	// Claim asks for the right to run the attempt. The claim counts as abandoned
+	// if it is not finished by expires, MaxClaimLife from now at most.
+	Claim(ctx context.Context, key Key, attempt AttemptID, expires time.Time) (ClaimResult, error)
+	// Fence makes sure that the attempt does not run, unless it holds the key
+	// already.
+	Fence(ctx context.Context, key Key, attempt AttemptID) (FenceResult, error)
+	// Finish records how the attempt that holds the key ended. A NotRun record
+	// frees the key for other attempts.
+	Finish(ctx context.Context, key Key, attempt AttemptID, record Record) error
+}
+
+// OpKind is a kind of operation.
+type OpKind uint8
+
+// Kinds of operations.
+const (
+	OpClaim OpKind = iota + 1
+	OpFence
+	OpFinish
+)
+
+// Op is one operation on a key.
+type Op struct {
+	Kind    OpKind    `cbor:"1,keyasint"`
+	Key     Key       `cbor:"2,keyasint"`
+	Attempt AttemptID `cbor:"3,keyasint"`
+	Expires int64     `cbor:"4,keyasint,omitempty"` // Unix time in ms, for OpClaim
+	Record  *Record   `cbor:"5,keyasint,omitempty"` // for OpFinish
+}
+
+// Result is the result of an operation.
+type Result struct {
+	Status Status  `cbor:"1,keyasint"`
+	Record *Record `cbor:"2,keyasint,omitempty"`
+}
+
+// Command is what a group commits: operations at a time of the leader's clock.
+type Command struct {
+	Now int64 `cbor:"1,keyasint"` // Unix time in ms
+	Ops []Op  `cbor:"2,keyasint"`
+}
