Name the founders of an idempotency group in its resource

Cause: a node that starts late sees only the present members. If founders were replaced meanwhile, it would found the group with fewer voters than the others did, and two majorities that do not overlap could form. Change: Group.Founders, fixed within an epoch. Without it, only the first generation of a group of epoch 1 tells the founders. Measured: not measured.

--- a/resource/object.go
+++ b/resource/object.go
@@ -187,6 +187,11 @@
 	HomeRegion string `json:"homeRegion" validate:"required,resourcename"`
 	// Epoch grows when the group is replaced after the loss of a majority.
 	Epoch uint64 `json:"epoch" validate:"min=1"`
+	// Founders are the replicas that vote from the start of the epoch. They do
+	// not change within an epoch, also when founders are replaced: a node that
+	// starts late must found the same group as the others. Empty: the members
+	// of the first generation of the resource that are not joining.
+	Founders []uint64 `json:"founders,omitempty" validate:"max=5"`
 	// Members are the replicas that start the group or join it. At most 5 vote.
 	Members []GroupMember `json:"members" validate:"max=7,dive"`
 }
@@ -208,7 +213,12 @@
 func (*Group) Type() Type { return TypeGroup }
 
 // Clone implements Object.
-func (g *Group) Clone() Object { c := *g; c.Members = slices.Clone(g.Members); return &c }
+func (g *Group) Clone() Object {
+	c := *g
+	c.Founders = slices.Clone(g.Founders)
+	c.Members = slices.Clone(g.Members)
+	return &c
+}
 
 // New returns an empty object of type t, or nil if there is no such type.
 func New(t Type) Object {
