Host idempotency groups on nodes and send claims to them in batches

Cause: claims must work while the control group is unavailable, survive the loss of replicas and never be granted by a replica that has lost its memory. Change: Host runs the replicas that the configuration assigns to this start of the process, and the leader moves the membership towards the Group resource one change at a time: a dead member is removed first, a running one last. A leader with an older generation of the resource changes nothing. A second state machine can share the group.

--- /dev/null
+++ b/idempotency/host.go
@@ -0,0 +1,391 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/replica"
+	"github.com/godwithub/godwithub/consensus/volatile"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Timing of groups. A leader is replaced within about a second.
+const (
+	DefaultTickInterval   = 25 * time.Millisecond
+	DefaultElectionTicks  = 20
+	DefaultHeartbeatTicks = 4
+)
+
+const (
+	// serveTimeout bounds the wait for a majority. It is shorter than a
+	// caller's callTimeout, so that only a silent link runs into that.
+	serveTimeout = 250 * time.Millisecond
+	// reconcileInterval is the time between looks at the configuration and the
+	// state of the replicas.
+	reconcileInterval = 250 * time.Millisecond
+	// changeTimeout bounds one try of a membership change.
+	changeTimeout = 5 * time.Second
+	// retireAfter is how long a replica that the configuration dropped goes on
+	// without a leader, and retireAtLast how long in any case. Until the group
+	// has replaced it, it still counts for the majority.
+	retireAfter  = 5 * time.Second
+	retireAtLast = 2 * time.Minute
+)
+
+var metrics = expvar.NewMap("idempotency")
+
+// GroupTransport carries consensus messages of many groups. Members' addresses
+// are node ids. A *replica.LinkTransport is one.
+type GroupTransport interface {
+	replica.Transport
+	Register(group string, r replica.Receiver)
+	Unregister(group string)
+}
+
+// HostConfig describes a host. Zero fields take their defaults where there is
+// one.
+type HostConfig struct {
+	Node fleet.NodeID
+	// Incarnation is that of the node when this process started. Replicas that
+	// were assigned before are lost and are never run again.
+	Incarnation uint64
+	Transport   GroupTransport
+	// NewLedger returns an empty state machine that shares the group. nil: none.
+	NewLedger func(group string) consensus.StateMachine
+	// Table returns the limits of a group's table.
+	Table func(epoch uint64) TableConfig
+	// Core sets the timing of the groups.
+	Core         consensus.Config
+	TickInterval time.Duration
+	Now          func() time.Time
+	Log          *slog.Logger
+}
+
+func (c HostConfig) withDefaults() HostConfig {
+	if c.Table == nil {
+		c.Table = DefaultTableConfig
+	}
+	if c.Core.ElectionTicks == 0 {
+		c.Core.ElectionTicks, c.Core.HeartbeatTicks = DefaultElectionTicks, DefaultHeartbeatTicks
+	}
+	if c.TickInterval == 0 {
+		c.TickInterval = DefaultTickInterval
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Log == nil {
+		c.Log = logging.Discard()
+	}
+	return c
+}
+
+// Host runs the replicas that the configuration assigns to this node.
+type Host struct {
+	cfg    HostConfig
+	log    *slog.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+	tasks  sync.WaitGroup
+
+	mu     sync.Mutex
+	groups map[string]*resource.Group
+	hosted map[string]*hosted
+	// retired holds replicas that ran in this process and must not run again,
+	// since their memory is gone.
+	retired map[replicaName]bool
+}
+
+type replicaName struct {
+	group string
+	epoch uint64
+	id    uint64
+}
+
+// hosted is a running replica of a group.
+type hosted struct {
+	name     replicaName
+	replica  *replica.Replica
+	machine  *machine
+	dropped  time.Time // when the configuration dropped it; zero: it has not
+	leaderAt time.Time // when a leader was last known
+	changing bool      // a membership change is under way
+}
+
+// NewHost starts a host without groups.
+func NewHost(cfg HostConfig) *Host {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		cfg: cfg, log: cfg.Log, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		hosted: map[string]*hosted{}, retired: map[replicaName]bool{},
+	}
+	h.tasks.Go(h.run)
+	return h
+}
+
+// SetGroups hands over the groups of the configuration in force. The map is
+// not modified afterwards.
+func (h *Host) SetGroups(groups map[string]*resource.Group) {
+	h.mu.Lock()
+	h.groups = groups
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stop ends all replicas. Their memory is lost.
+func (h *Host) Stop() {
+	h.cancel()
+	h.tasks.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.hosted {
+		h.stop(r)
+	}
+}
+
+// ReplicaStatus is the state of one replica, for operators.
+type ReplicaStatus struct {
+	Group string
+	Epoch uint64
+	replica.Status
+}
+
+// Statuses returns the state of the replicas of this node.
+func (h *Host) Statuses() []ReplicaStatus {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []ReplicaStatus
+	for _, r := range h.hosted {
+		out = append(out, ReplicaStatus{r.name.group, r.name.epoch, r.replica.Status()})
+	}
+	return out
+}
+
+func (h *Host) run() {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.wake:
+		case <-ticker.C:
+		}
+		h.reconcile()
+	}
+}
+
+func (h *Host) reconcile() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.hosted {
+		if h.isOver(r) {
+			h.stop(r)
+		}
+	}
+	for _, g := range h.groups {
+		h.startAssigned(g)
+	}
+	for _, r := range h.hosted {
+		h.lead(r)
+	}
+}
+
+// isOver reports whether a replica is to be stopped.
+func (h *Host) isOver(r *hosted) bool {
+	g := h.groups[r.name.group]
+	if g == nil || g.Epoch != r.name.epoch {
+		return true
+	}
+	now := h.cfg.Now()
+	st := r.replica.Status()
+	if st.Leader != 0 {
+		r.leaderAt = now
+	}
+	assigned := slices.ContainsFunc(g.Members, func(m resource.GroupMember) bool { return m.Replica == r.name.id })
+	switch {
+	case assigned:
+		r.dropped = time.Time{}
+		return false
+	case r.dropped.IsZero():
+		r.dropped, r.leaderAt = now, now
+		return false
+	}
+	return now.Sub(r.leaderAt) > retireAfter || now.Sub(r.dropped) > retireAtLast
+}
+
+// stop ends a replica for good.
+func (h *Host) stop(r *hosted) {
+	h.cfg.Transport.Unregister(r.name.wireName())
+	if err := r.replica.Stop(); err != nil {
+		h.log.Error("replica ended with an error", "group", r.name.group, "error", err)
+	}
+	h.retired[r.name] = true
+	delete(h.hosted, r.name.group)
+	metrics.Add("replicas", -1)
+}
+
+// wireName names the group in consensus messages. Replicas of different epochs
+// do not hear each other.
+func (n replicaName) wireName() string { return fmt.Sprintf("%s/%d", n.group, n.epoch) }
+
+// startAssigned starts the replica of g that is assigned to this process.
+func (h *Host) startAssigned(g *resource.Group) {
+	for _, m := range g.Members {
+		name := replicaName{g.Name, g.Epoch, m.Replica}
+		if m.Node != string(h.cfg.Node) || m.Incarnation < h.cfg.Incarnation || h.retired[name] {
+			continue
+		}
+		if r := h.hosted[g.Name]; r != nil {
+			if r.name.id >= m.Replica {
+				continue
+			}
+			h.stop(r)
+		}
+		if err := h.start(name, founders(g)); err != nil {
+			h.log.Error("replica does not start", "group", g.Name, "error", err)
+		}
+	}
+}
+
+// founders returns the first membership of a group's epoch, or nil if it cannot
+// be told any more. A voter that starts without it gets the log from a leader.
+func founders(g *resource.Group) consensus.Membership {
+	var out consensus.Membership
+	for _, id := range g.Founders {
+		out = append(out, consensus.Member{ID: consensus.ReplicaID(id), Voter: true})
+	}
+	if len(out) == 0 && g.Generation <= 1 && g.Epoch <= 1 {
+		for _, m := range g.Members {
+			if !m.Joining {
+				out = append(out, consensus.Member{ID: consensus.ReplicaID(m.Replica), Voter: true})
+			}
+		}
+	}
+	for i, f := range out {
+		for _, m := range g.Members {
+			if consensus.ReplicaID(m.Replica) == f.ID {
+				out[i].Addr = m.Node
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b consensus.Member) int { return int(a.ID) - int(b.ID) })
+	return out
+}
+
+func (h *Host) start(name replicaName, founders consensus.Membership) error {
+	m := &machine{table: NewTable(h.cfg.Table(name.epoch))}
+	if h.cfg.NewLedger != nil {
+		m.ledger = h.cfg.NewLedger(name.group)
+	}
+	id := consensus.ReplicaID(name.id)
+	if !founders.Voter(id) {
+		founders = nil
+	}
+	core := h.cfg.Core
+	core.Seed = name.id ^ uint64(h.cfg.Now().UnixNano())
+	r, err := replica.Start(replica.Config{
+		Group: name.wireName(), Core: core, Addr: string(h.cfg.Node), Founders: founders,
+		Store: volatile.New(id), Machine: m, Transport: h.cfg.Transport,
+		TickInterval: h.cfg.TickInterval, Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.hosted[name.group] = &hosted{name: name, replica: r, machine: m, leaderAt: h.cfg.Now()}
+	h.cfg.Transport.Register(name.wireName(), r)
+	metrics.Add("replicas", 1)
+	return nil
+}
+
+// Handle serves a stream that begins with wire.FrameGroupCall; it is registered
+// with link.Mux.
+func (h *Host) Handle(ctx context.Context, s link.Stream, first link.Frame) {
+	defer context.AfterFunc(ctx, s.Reset)()
+	var c GroupCall
+	s.SetReadDeadline(time.Now().Add(readTimeout))
+	if err := readSized(s, first, wire.FrameGroupCall, &c); err != nil {
+		h.log.Warn("malformed group call", "peer", s.PeerName(), "error", err)
+		s.Reset()
+		return
+	}
+	if err := writeSized(s, wire.FrameGroupResult, h.Serve(ctx, c)); err != nil {
+		s.Reset()
+		return
+	}
+	s.Close()
+}
+
+// Serve has a call committed by the group, if this node leads it.
+func (h *Host) Serve(ctx context.Context, c GroupCall) GroupReply {
+	h.mu.Lock()
+	r := h.hosted[c.Group]
+	h.mu.Unlock()
+	if r == nil || r.name.epoch != c.Epoch {
+		return GroupReply{Refusal: RefusedNoReplica}
+	}
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	if c.Ledger != nil {
+		b, err := r.replica.Propose(ctx, append([]byte{partLedger}, c.Ledger...))
+		return GroupReply{Refusal: refusalOf(err), Leader: r.leaderNode(err), Ledger: b}
+	}
+	b, err := r.proposeOps(ctx, Command{h.cfg.Now().UnixMilli(), c.Ops})
+	if err != nil {
+		return GroupReply{Refusal: refusalOf(err), Leader: r.leaderNode(err)}
+	}
+	var results []Result
+	if err := wire.Decode(b, &results); err != nil {
+		h.log.Error("malformed results of a table", "group", c.Group, "error", err)
+		return GroupReply{Refusal: RefusedUnknown}
+	}
+	return GroupReply{Results: results}
+}
+
+func (r *hosted) proposeOps(ctx context.Context, c Command) ([]byte, error) {
+	b, err := wire.Encode(c)
+	if err != nil {
+		return nil, err
+	}
+	return r.replica.Propose(ctx, append([]byte{partTable}, b...))
+}
+
+func (r *hosted) leaderNode(err error) fleet.NodeID {
+	var notLeader *replica.NotLeaderError
+	if errors.As(err, &notLeader) && notLeader.Leader != consensus.ReplicaID(r.name.id) {
+		return fleet.NodeID(notLeader.Addr)
+	}
+	return ""
+}
+
+func refusalOf(err error) Refusal {
+	var unknown *replica.UnknownError
+	switch {
+	case err == nil:
+		return RefusedNot
+	case errors.As(err, &unknown):
+		return RefusedUnknown
+	case errors.Is(err, consensus.ErrNotLeader):
+		return RefusedNotLeader
+	case errors.Is(err, replica.ErrStopped):
+		return RefusedNoReplica
+	default:
+		return RefusedBusy
+	}
+}
--- /dev/null
+++ b/idempotency/membership.go
@@ -0,0 +1,104 @@
+package idempotency
+
+import (
+	"context"
+
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// lead moves a group that this node leads one step towards the configuration.
+func (h *Host) lead(r *hosted) {
+	st := r.replica.Status()
+	g := h.groups[r.name.group]
+	if st.Role != consensus.Leader || r.changing || g == nil || g.Epoch != r.name.epoch {
+		return
+	}
+	// A leader whose configuration is behind must not undo newer changes.
+	known := r.machine.generation.Load()
+	if g.Generation < known {
+		return
+	}
+	change, ok := nextChange(st.Status, g)
+	if !ok {
+		return
+	}
+	r.changing = true
+	h.tasks.Go(func() {
+		err := h.change(r, change, g.Generation, known)
+		if err != nil {
+			h.log.Warn("membership change is not done", "group", r.name.group, "change", change.Kind.String(), "member", change.ID.String(), "error", err)
+		} else {
+			h.log.Info("membership changed", "group", r.name.group, "change", change.Kind.String(), "member", change.ID.String())
+		}
+		h.mu.Lock()
+		r.changing = false
+		h.mu.Unlock()
+	})
+}
+
+func (h *Host) change(r *hosted, change consensus.MemberChange, generation, known uint64) error {
+	ctx, cancel := context.WithTimeout(h.ctx, changeTimeout)
+	defer cancel()
+	if generation > known {
+		if _, err := r.replica.Propose(ctx, generationCommand(generation)); err != nil {
+			return err
+		}
+	}
+	return r.replica.Change(ctx, change)
+}
+
+// nextChange returns the next change that leads from the membership of a group
+// to the configured one. A dead member is removed first and its successor gets
+// its vote at once, since a further loss would end the group. A running member
+// is removed last, when its successor has caught up.
+// consensus.TestSecondLossDuringReplacement measures both orders.
+func nextChange(st consensus.Status, g *resource.Group) (consensus.MemberChange, bool) {
+	wanted := map[consensus.ReplicaID]bool{}
+	for _, m := range g.Members {
+		wanted[consensus.ReplicaID(m.Replica)] = true
+	}
+	for _, m := range st.Membership {
+		if !wanted[m.ID] && m.ID != st.ID && (!st.Heard[m.ID] || !m.Voter) {
+			return consensus.MemberChange{Kind: consensus.Remove, ID: m.ID}, true
+		}
+	}
+	for _, m := range g.Members {
+		id := consensus.ReplicaID(m.Replica)
+		current, ok := st.Membership.Find(id)
+		switch {
+		case !ok:
+			return consensus.MemberChange{Kind: consensus.AddLearner, ID: id, Addr: m.Node}, true
+		case current.Addr != m.Node:
+			return consensus.MemberChange{Kind: consensus.SetAddr, ID: id, Addr: m.Node}, true
+		}
+	}
+	complete := true
+	for _, m := range st.Membership {
+		if !wanted[m.ID] || m.Voter {
+			continue
+		}
+		if st.Heard[m.ID] {
+			early := st.Membership.Voters() < len(g.Members)
+			return consensus.MemberChange{Kind: consensus.Promote, ID: m.ID, Early: early}, true
+		}
+		complete = false
+	}
+	if !complete {
+		return consensus.MemberChange{}, false
+	}
+	return removeRunning(st, wanted)
+}
+
+// removeRunning removes the members that are not wanted, the leader last.
+func removeRunning(st consensus.Status, wanted map[consensus.ReplicaID]bool) (consensus.MemberChange, bool) {
+	for _, m := range st.Membership {
+		if !wanted[m.ID] && m.ID != st.ID {
+			return consensus.MemberChange{Kind: consensus.Remove, ID: m.ID}, true
+		}
+	}
+	if !wanted[st.ID] {
+		return consensus.MemberChange{Kind: consensus.Remove, ID: st.ID}, true
+	}
+	return consensus.MemberChange{}, false
+}
