--- a/node/debug.go
+++ b/node/debug.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/http"
 
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/version"
 )
 
@@ -40,17 +41,27 @@
 	Config    string           `json:"config"` // "epoch.revision", or empty
 	Nodes     int              `json:"nodes"`  // usable nodes other than this one
 	Upstreams map[string][]any `json:"upstreams"`
+	// Suspects and Ejected are the upstreams that are avoided or out of service.
+	Suspects []fleet.UpstreamID `json:"suspects"`
+	Ejected  []fleet.UpstreamID `json:"ejected"`
 }
 
 func (n *Node) status() Status {
 	v := n.board.View()
-	s := Status{Version: version.Version, Node: n.set.NodeID, Leaving: v.Leaving, Nodes: len(v.Nodes), Upstreams: map[string][]any{}}
+	s := Status{Version: version.Version, Node: n.set.NodeID, Leaving: v.Leaving, Nodes: len(v.Nodes), Upstreams: map[string][]any{},
+		Suspects: []fleet.UpstreamID{}, Ejected: []fleet.UpstreamID{}}
 	if v.Config != nil {
 		s.Config = v.Config.Version.String()
 	}
 	for service, list := range v.Upstreams {
 		for _, u := range list {
 			s.Upstreams[service] = append(s.Upstreams[service], u)
+			switch {
+			case u.Ejected:
+				s.Ejected = append(s.Ejected, u.ID)
+			case u.Suspect:
+				s.Suspects = append(s.Suspects, u.ID)
+			}
 		}
 	}
 	return s
