Test claims under lost messages and replies, and early promotions

Cause: the host promotes early, but the simulated cluster did not; the test of killed replicas lost no message and no reply. Change: early promotions and address changes in the simulated cluster; one message in 50 and one reply in 20 lost in the test of killed replicas. Conclusion: no fault was found.

--- a/consensus/faults_test.go
+++ b/consensus/faults_test.go
@@ -221,9 +221,11 @@
 	m, _ := pick(r, []Member(ms))
 	switch {
 	case !m.Voter:
-		c.change(l, MemberChange{Kind: Promote, ID: m.ID})
+		c.change(l, MemberChange{Kind: Promote, ID: m.ID, Early: r.IntN(2) == 0})
 	case c.nodes[m.ID] == nil || ms.Voters() > 3 && r.IntN(3) == 0:
 		c.change(l, MemberChange{Kind: Remove, ID: m.ID})
+	case r.IntN(8) == 0:
+		c.change(l, MemberChange{Kind: SetAddr, ID: m.ID, Addr: fmt.Sprint(c.now())})
 	case len(c.order) < 12 && r.IntN(4) == 0:
 		c.spares = append(c.spares, c.addBlank().id)
 	}
--- a/idempotency/host_test.go
+++ b/idempotency/host_test.go
@@ -32,6 +32,7 @@
 	group       *resource.Group
 	ran         map[Key][]AttemptID
 	metered     bool
+	lossy       bool // one message in 50 and one reply in 20 is lost
 }
 
 type worldNode struct {
@@ -62,7 +63,8 @@
 func (e endpoint) Send(m consensus.Message) {
 	e.w.mu.Lock()
 	var r replica.Receiver
-	if n := e.w.nodes[fleet.NodeID(m.ToAddr)]; n != nil {
+	n := e.w.nodes[fleet.NodeID(m.ToAddr)]
+	if n != nil && (!e.w.lossy || rand.IntN(50) > 0) {
 		r = n.receivers[m.Group]
 	}
 	if e.w.metered {
@@ -78,12 +80,16 @@
 
 func (w *world) Call(ctx context.Context, node fleet.NodeID, c GroupCall) (GroupReply, error) {
 	w.mu.Lock()
-	n := w.nodes[node]
+	n, lossy := w.nodes[node], w.lossy
 	w.mu.Unlock()
 	if n == nil {
 		return GroupReply{}, errors.New("node is down")
 	}
-	return n.host.Serve(ctx, c), nil
+	reply := n.host.Serve(ctx, c)
+	if lossy && rand.IntN(20) == 0 {
+		return GroupReply{}, errors.New("reply is lost")
+	}
+	return reply, nil
 }
 
 // newWorld starts nodes a to e, on which the group has its replicas 1 to 5.
@@ -253,9 +259,9 @@
 	return c.Finish(ctx, key, id, Record{Outcome: outcome.Answered, Body: []byte(id)}) != nil
 }
 
-// Guards against a key that runs twice while replicas are killed, replaced and
-// requests are sent again, and against replicas that run under an identity
-// whose memory is lost.
+// Guards against a key that runs twice while replicas are killed and replaced,
+// messages and replies are lost and requests are sent again, and against
+// replicas that run under an identity whose memory is lost.
 func TestNoKeyRunsTwiceWhileReplicasAreKilled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
@@ -263,6 +269,9 @@
 		w.waitFor("settled group", w.settled)
 		client := NewClient(w, w.currentGroup)
 		defer client.Close()
+		w.mu.Lock()
+		w.lossy = true
+		w.mu.Unlock()
 		ended := make(chan struct{})
 		var callers sync.WaitGroup
 		answered := 0
