trials: time the queue with all its shares

Cause: each call of SetRanks replaces the shares, so that the timed queue kept one only. Change: one call. Conclusion: a fault of the measurement.

--- a/internal/trials/cost.go
+++ b/internal/trials/cost.go
@@ -72,9 +72,11 @@
 
 func queueOf100(d *Deployment) *admission.Queue {
 	q := admission.New(admission.Options{Slots: d.Slots})
+	var shares []admission.RankShare
 	for level, share := range d.Shares {
-		q.SetRanks([]admission.RankShare{{Level: level, Share: share}})
+		shares = append(shares, admission.RankShare{Level: level, Share: share})
 	}
+	q.SetRanks(shares)
 	for id := range uint64(100) {
 		q.Offer(epoch, costTicket(d, id))
 	}
