--- a/controld/controld.go
+++ b/controld/controld.go
@@ -13,8 +13,10 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/server"
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/link/tlslink"
@@ -66,8 +68,13 @@
 	// Register adds handlers to the mux, such as that of
 	// wire.FrameConfigWatch. May be nil.
 	Register func(Parts) error
+	// Background runs beside the servers until its context ends. May be nil.
+	Background func(context.Context, Parts, control.Replicator)
 	// Reached tells which versions are in force at the nodes. May be nil.
 	Reached server.ReachedSource
+	// Fleet and Burn are passed to the resource API. Either may be nil.
+	Fleet func() []fleet.Node
+	Burn  func(now time.Time) burn.Report
 	// Members changes the members of the control group. May be nil.
 	Members server.MemberChanger
 }
@@ -141,7 +148,7 @@
 	}
 	d.server, err = server.New(server.Config{
 		Machine: d.parts.Machine, Replicator: d.replication, Tokens: tokens, NodeID: d.set.NodeID,
-		Reached: d.options.Reached, Members: members, Log: log,
+		Reached: d.options.Reached, Members: members, Fleet: d.options.Fleet, Burn: d.options.Burn, Log: log,
 	})
 	return err
 }
@@ -194,6 +201,9 @@
 	if d.options.Holder != nil {
 		g.Go(func() error { control.Feed(run, d.parts.Machine, d.options.Holder, d.log); return nil })
 	}
+	if d.options.Background != nil {
+		g.Go(func() error { d.options.Background(run, d.parts, d.replication); return nil })
+	}
 	d.log.Info("member is up", "node", d.set.NodeID, "api", d.apiLn.Addr().String(), "link", listener.Addr(),
 		"version", d.parts.Machine.Version().String())
 	var failure error
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
@@ -27,7 +28,7 @@
 	// Observe takes evidence on upstreams. It must not block.
 	Observe func(Observation)
 	// Claims holds idempotency keys. Nil: requests that need a claim are refused.
-	Claims Claims
+	Claims idempotency.Claims
 	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
 	Crashes Crashes
 }
@@ -101,6 +102,7 @@
 func (d *Dispatcher) Register(m *link.Mux) {
 	m.Handle(wire.FrameAttempt, d.serveAttempt)
 	m.Handle(wire.FrameRelay, d.serveRelay)
+	m.Handle(wire.FramePing, servePing)
 }
 
 // Announce adds or updates an upstream. Once it drains, attempts that come or
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
 )
 
 // maxTombstones bounds the upstreams that a node announces as gone. Beyond it
@@ -49,6 +50,7 @@
 	// views of order, valid unless stale
 	local, remote, dead []*member
 	stale               bool
+	table               tableState
 	// joining is true while no other live member is known.
 	joining bool
 
@@ -76,6 +78,7 @@
 		stale:    true,
 		joining:  true,
 		changed:  map[fleet.NodeID]bool{},
+		table:    tableState{dirty: map[*member]bool{}},
 		counters: n,
 	}
 	c.pushing.tokens = float64(cfg.PushBurstBytes)
@@ -122,14 +125,23 @@
 	}
 	c.setMeta(n)
 	c.setUpstreams(n.Upstreams)
-	notice := c.self.config != n.Config
-	c.self.config = n.Config
-	switch {
-	case c.queue.hasFresh():
-		c.push(now, true)
-	case notice:
+	if risen := c.raiseConfig(n.Config); risen && !c.queue.hasFresh() {
 		c.pushNotice()
 	}
+	if c.queue.hasFresh() {
+		c.push(now, true)
+	}
+}
+
+// raiseConfig takes the version of the own configuration unless it is lower: a
+// configuration never reverts, and a caller may have read it before it rose.
+func (c *core) raiseConfig(v resource.Version) (risen bool) {
+	if !c.self.config.Less(v) {
+		return false
+	}
+	c.self.config = v
+	c.changed[c.self.id] = true
+	return true
 }
 
 // setOwnState moves the own node to a later state: leaving or dead.
@@ -259,6 +271,7 @@
 func (c *core) touch(m *member) {
 	c.changed[m.id] = true
 	c.stale = true
+	c.table.dirty[m] = true
 }
 
 // views brings local, remote and dead up to date.
@@ -335,6 +348,7 @@
 			!m.known() && now.Sub(m.created) >= placeholderRetention
 		if old {
 			c.setDeadline(m, time.Time{})
+			c.dropFromTable(m)
 			delete(c.members, m.id)
 			c.queue.removeIf(func(p part) bool { return p.node == m.id })
 		}
--- a/gossip/queue.go
+++ b/gossip/queue.go
@@ -11,10 +11,14 @@
 )
 
 // backlog is the length from which a queue counts a change that comes in again
-// as sent. The change is then known widely, and the queue holds more than fits
-// one datagram.
+// as sent, once for each multiple of backlog. The change is then known widely,
+// and the queue holds more than fits one datagram.
 const backlog = 16
 
+// storm is the length from which a node no longer relies on the queue alone;
+// see compareTables. It is reached when many nodes start at once.
+const storm = 8 * backlog
+
 // part names one part of a node's record. A queued change replaces an older
 // one of the same part.
 type part struct {
@@ -35,7 +39,7 @@
 type queued struct {
 	part
 	raw   cbor.RawMessage
-	sends int
+	sends int // on probes and answers
 	order uint64
 	// urgent changes take capacity away from where others may send work.
 	urgent bool
@@ -46,9 +50,10 @@
 // queue holds changes until each was sent often enough. It holds at most one
 // per part of the members known.
 type queue struct {
-	items map[part]*queued
-	order uint64
-	fresh int // number of fresh changes
+	items  map[part]*queued
+	order  uint64
+	fresh  int // number of fresh changes
+	urgent int // number of urgent changes
 }
 
 func newQueue() *queue { return &queue{items: map[part]*queued{}} }
@@ -59,11 +64,17 @@
 	q.order++
 	q.items[p] = &queued{part: p, raw: mustEncode(r), order: q.order, urgent: urgent, fresh: true}
 	q.fresh++
+	if urgent {
+		q.urgent++
+	}
 }
 
 func (q *queue) remove(p part) {
 	if it := q.items[p]; it != nil {
 		q.unfresh(it)
+		if it.urgent {
+			q.urgent--
+		}
 		delete(q.items, p)
 	}
 }
@@ -87,10 +98,15 @@
 // duplicate notes that a change came in again.
 func (q *queue) duplicate(p part, limit int) {
 	it := q.items[p]
-	if it == nil || len(q.items) < backlog {
+	if it == nil {
 		return
 	}
-	if it.sends++; it.sends >= limit {
+	// Urgent changes go before the others, which don't delay them.
+	waiting := len(q.items)
+	if it.urgent {
+		waiting = q.urgent
+	}
+	if it.sends += waiting / backlog; it.sends >= limit {
 		q.remove(p)
 	}
 }
@@ -119,28 +135,54 @@
 	return out
 }
 
-// take returns changes of room bytes at most and counts them as sent to a
-// number of receivers. Changes that were sent limit times leave the queue.
-func (q *queue) take(room int, freshOnly bool, receivers, limit int) []cbor.RawMessage {
+// takeFresh returns fresh changes of room bytes at most, to be pushed.
+func (q *queue) takeFresh(room int) []cbor.RawMessage {
 	var out []cbor.RawMessage
-	for _, it := range q.sorted(freshOnly) {
-		if len(it.raw) > room || len(out) == maxUpdates {
-			continue
-		}
-		room -= len(it.raw)
+	for _, it := range fitting(q.sorted(true), room) {
 		out = append(out, it.raw)
-		it.sends += receivers
 		q.unfresh(it)
-		if it.sends >= limit {
+	}
+	return out
+}
+
+// take returns changes of room bytes at most and counts them as sent. Changes
+// that were sent limit times leave the queue.
+func (q *queue) take(room, limit int) []cbor.RawMessage {
+	var out []cbor.RawMessage
+	for _, it := range fitting(q.sorted(false), room) {
+		out = append(out, it.raw)
+		if it.sends++; it.sends >= limit {
 			q.remove(it.part)
 		}
 	}
 	return out
 }
 
+// fitting returns those of list that fit a datagram with room bytes left.
+func fitting(list []*queued, room int) []*queued {
+	out := list[:0]
+	for _, it := range list {
+		if len(it.raw) <= room && len(out) < maxUpdates-1 {
+			room -= len(it.raw)
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
 // hasFresh reports whether a change waits for its push.
 func (q *queue) hasFresh() bool { return q.fresh > 0 }
 
+// freshUrgent reports whether an urgent change waits for its push.
+func (q *queue) freshUrgent() bool {
+	for _, it := range q.items {
+		if it.fresh && it.urgent {
+			return true
+		}
+	}
+	return false
+}
+
 // settle leaves changes to probes: all, or those that are not urgent.
 func (q *queue) settle(urgent bool) {
 	for _, it := range q.items {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"context"
 	"expvar"
 	"log/slog"
 	"net/http"
@@ -14,8 +15,10 @@
 	"github.com/godwithub/godwithub/balance"
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/retry"
+	"github.com/godwithub/godwithub/wire"
 )
 
 // Headers of callers' requests.
@@ -32,7 +35,7 @@
 	HeaderReason    = "Godwithub-Reason"
 )
 
-// Config holds what an Ingress needs. All fields are required but Budget.
+// Config holds what an Ingress needs. All fields are required but CrossRegion, Record and Claims.
 type Config struct {
 	Log    *slog.Logger
 	View   func() *board.View
@@ -42,8 +45,8 @@
 	CrossRegion func(level int, answerBytes int64) bool
 	// Record takes the end of each request, for reports. It must not block.
 	Record func(Finished)
-	// Fence keeps an attempt whose dispatcher was lost from running. Nil: none.
-	Fence Fence
+	// Claims fences attempts whose dispatcher was lost. Nil: none are.
+	Claims idempotency.Claims
 }
 
 // Ingress is the HTTP handler for callers. It is safe for concurrent use.
@@ -131,6 +134,45 @@
 	return l.limiter.Allow()
 }
 
+// Intervals of the test of a path in trouble.
+const (
+	pathTestInterval = 500 * time.Millisecond
+	// pathTestLimit ends the test of a path to a node that has not come back.
+	// The next failure starts it again.
+	pathTestLimit = 10 * time.Minute
+)
+
+// pathFailed notes that the path to a node failed, and tests it until it works.
+func (in *Ingress) pathFailed(node fleet.NodeID, addr string) {
+	if !in.paths.failed(node) {
+		return
+	}
+	in.log.Warn("path to node failed", "node", node, "addr", addr)
+	go func() {
+		defer in.paths.recovered(node)
+		for end := time.Now().Add(pathTestLimit); time.Now().Before(end); {
+			time.Sleep(pathTestInterval)
+			if in.ping(addr) == nil {
+				in.log.Info("path to node works again", "node", node, "addr", addr)
+				return
+			}
+		}
+	}()
+}
+
+// ping tests the path to a node over a new connection.
+func (in *Ingress) ping(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	in.cfg.Dialer.Replace(addr)
+	return link.Call(ctx, in.cfg.Dialer, addr, func(s link.Stream) error {
+		if err := s.WriteFrame(wire.FramePing, nil); err != nil {
+			return err
+		}
+		return wire.Read(s, wire.FrameDone, nil)
+	})
+}
+
 // Metrics returns the ingress's counters for expvar.
 func (in *Ingress) Metrics() *expvar.Map {
 	m := new(expvar.Map).Init()
@@ -167,8 +209,9 @@
 			Slots:         u.Slots,
 			InUse:         load.inUse,
 			Queued:        load.queued,
-			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node, now),
+			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
 			Ejected:       u.Ejected,
+			Trial:         u.Trial,
 			Draining:      u.State == fleet.UpstreamDraining,
 			Weight:        warmWeight(u, now),
 		}
--- a/node/new.go
+++ b/node/new.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/ingress"
@@ -26,6 +27,8 @@
 	Mux    *link.Mux
 	Dialer link.Dialer
 	Log    *slog.Logger
+	// Stats takes functions that return counters for the metrics, by part.
+	Stats map[string]func() any
 }
 
 // Join connects a node to membership and configuration.
@@ -43,6 +46,8 @@
 	n := &Node{
 		set:          set,
 		log:          prefixed(log, "node"),
+		burn:         burn.NewRecorder(),
+		stats:        map[string]func() any{},
 		observations: make(chan dispatch.Observation, observationBacklog),
 	}
 	n.crashes = newCrashes(n.spreadCrash)
@@ -59,11 +64,15 @@
 	}
 	n.board = board.New(self, prefixed(log, "board"), n.perform, board.Controllers()...)
 	n.mux = link.NewMux(prefixed(log, "link"))
+	n.dialer = &link.LocalDialer{Dialer: n.dialer, Addr: set.LinkAddr, Name: set.NodeID, Mux: n.mux}
+	n.groups = n.newGroups(log)
 	n.buildTraffic(log)
-	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log})
+	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log, n.stats})
 	if err != nil {
 		return nil, err
 	}
+	n.stats["groups"] = func() any { return n.groups.host.Statuses() }
+	n.groups.start(n, n.members.Incarnation(), log)
 	return n, n.listen(log)
 }
 
@@ -75,6 +84,7 @@
 		Configuration: configuration,
 		Observe:       n.observe,
 		Crashes:       n.crashes,
+		Claims:        n.groups.client,
 	})
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
@@ -83,6 +93,8 @@
 		Log:    prefixed(log, "ingress"),
 		View:   n.board.View,
 		Dialer: n.dialer,
+		Record: n.countFinished,
+		Claims: n.groups.client,
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/ingress"
@@ -41,9 +42,13 @@
 	members    Membership
 	config     ConfigSource
 	crashes    *crashes
+	burn       *burn.Recorder
+	groups     *groups
 
 	observations chan dispatch.Observation
 	dropped      expvar.Int // observations
+	// stats are the counters of parts that join the node, by name.
+	stats map[string]func() any
 	// background ends the exchanges that the board asks for.
 	background context.Context
 
@@ -57,6 +62,8 @@
 	// Subscribe calls f for each change of a member, and for present members.
 	Subscribe(f func(fleet.Node))
 	Leave(ctx context.Context) error
+	// Incarnation is that of this process as other nodes see it.
+	Incarnation() uint64
 	Close() error
 }
 
@@ -65,6 +72,8 @@
 	// Subscribe calls f for the present configuration, if any, and newer ones.
 	Subscribe(f func(*resource.Set))
 	Run(ctx context.Context) error
+	// Control returns how to reach the control VMs.
+	Control() ControlDialer
 }
 
 // newLink returns the dialer and listener of the transport in the settings.
@@ -146,6 +155,8 @@
 		n.dispatcher.SetSuspect(a.ID, a.Suspect)
 	case board.SendSummaries:
 		go n.sendSummaries(n.background, a)
+	case board.AskLedger:
+		go n.askLedger(n.background, a.Command)
 	}
 }
 
@@ -159,7 +170,11 @@
 	g.Go(func() error { n.board.Run(run); return nil })
 	g.Go(func() error { n.batchObservations(run); return nil })
 	n.members.Subscribe(func(m fleet.Node) { n.post(board.NodeChanged{Node: m}) })
-	n.config.Subscribe(func(s *resource.Set) { n.post(board.ConfigChanged{Config: resource.Compile(s)}) })
+	n.config.Subscribe(func(s *resource.Set) {
+		c := resource.Compile(s)
+		n.post(board.ConfigChanged{Config: c})
+		n.groups.host.SetGroups(c.Groups)
+	})
 	g.Go(func() error { return n.mux.Serve(run, n.listener) })
 	g.Go(func() error { return n.config.Run(run) })
 	g.Go(func() error { return serve(n.callers, n.callerLn) })
@@ -168,6 +183,7 @@
 		g.Go(func() error { return serve(n.debug, n.debugLn) })
 	}
 	g.Go(func() error { n.maintain(run); return nil })
+	g.Go(func() error { n.reportBurn(run, n.config.Control()); return nil })
 	n.log.Info("node is up", "node", n.set.NodeID, "callers", n.callerLn.Addr(), "link", n.listener.Addr())
 	select {
 	case <-ctx.Done():
@@ -216,6 +232,7 @@
 	// Attempts from other nodes are refused only now that they know.
 	err = errors.Join(err, n.dispatcher.Leave(ctx))
 	err = errors.Join(err, n.announcements.Shutdown(ctx))
+	n.groups.stop()
 	n.listener.Close()
 	n.dialer.Close()
 	n.members.Close()
