Let nodes wait for a member that is not current yet

Change: a member holds a watch or pull for up to 1 s until it is current, below the 1.5 s for which nodes wait.

Conclusion: the cause is inferred from the code, not shown by a trace.

--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -113,7 +113,7 @@
 // log, or was cut off, would hand out a configuration that is no longer in force.
 func (f *Fleet) whenCurrent(p Parts, h link.Handler) link.Handler {
 	return func(ctx context.Context, s link.Stream, first link.Frame) {
-		current, err := p.Current(ctx)
+		current, err := waitForCurrent(ctx, p)
 		if err != nil || !f.waitForHolder(ctx, p.Machine.Version()) {
 			s.Reset()
 			return
@@ -125,6 +125,23 @@
 	}
 }
 
+// currentTimeout bounds the wait for this member to be current. It is below the
+// time for which nodes wait for an answer. Without the wait, nodes would be
+// refused by all members while there is no leader, and back off for longer than
+// a change may take.
+const currentTimeout = time.Second
+
+func waitForCurrent(ctx context.Context, p Parts) (context.Context, error) {
+	ctx, cancel := context.WithTimeout(ctx, currentTimeout)
+	defer cancel()
+	for {
+		current, err := p.Current(ctx)
+		if err == nil || !sleep(ctx, leaderPoll/2) {
+			return current, err
+		}
+	}
+}
+
 // waitForHolder waits until the holder has version v, which it gets from
 // another goroutine.
 func (f *Fleet) waitForHolder(ctx context.Context, v resource.Version) bool {
