Give the members of test groups addresses of their own

Cause: TestLostDiskIsReplaced failed once with an address in use. A free port was taken by an outgoing connection while its member was down.

Change: each test group takes a loopback network, as scenarios do, with fixed ports.

Conclusion: the failure was the test's choice of ports.

--- a/controld/group_test.go
+++ b/controld/group_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -39,9 +40,11 @@
 	var err error
 	g.secret, err = server.NewToken(g.path("tokens"), "op", server.RoleAdmin)
 	assert.NilError(t, err)
-	for _, id := range ids {
+	network := freeNetwork(t)
+	for i, id := range ids {
 		assert.NilError(t, keys.Issue(g.path("ca"), g.path("keys-"+id), id, keys.RoleControl, time.Hour))
-		g.addrs[id] = address{id, freeAddr(t), freeAddr(t)}
+		ip := fmt.Sprintf("%s.%d", network, i+2)
+		g.addrs[id] = address{id, ip + ":7000", ip + ":8443"}
 	}
 	t.Cleanup(func() {
 		for id := range g.stops {
@@ -51,11 +54,19 @@
 	return g
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+// freeNetwork returns the first three numbers of loopback addresses that no
+// other test uses. Fixed ports, below those of outgoing connections, stay free
+// while a member is down.
+func freeNetwork(t *testing.T) string {
+	for range 100 {
+		network := fmt.Sprintf("127.%d.%d", 16+rand.IntN(230), rand.IntN(256))
+		if l, err := net.Listen("tcp", network+".1:65001"); err == nil {
+			t.Cleanup(func() { l.Close() })
+			return network
+		}
+	}
+	t.Fatal("no free network")
+	return ""
 }
 
 func (g *testGroup) path(name string) string { return filepath.Join(g.dir, name) }
