--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"path/filepath"
@@ -29,6 +28,7 @@
 //	fleet changes N                            write N changes, one after the other
 //	fleet race N                               operators change the same resource at once, N times, and resend
 //	fleet watch                                watch the configuration version of each node from here on
+//	fleet ejected SERVICE N                    at no time since have more than N been ejected
 //	fleet steady                               no node went back to an older version since
 //
 // After fleet node, $NAME is the address of the node's VM. The flag @nodes of
@@ -108,6 +108,8 @@
 	case action == "watch" && len(rest) == 0:
 		w.watch = newVersionWatch(w)
 		return nil
+	case action == "ejected" && len(rest) == 2:
+		return w.watch.checkEjected(rest[0], rest[1])
 	case action == "steady" && len(rest) == 0:
 		return w.watch.verdict()
 	case action == "ready" && len(rest) == 2:
@@ -165,8 +167,22 @@
 
 // nodeView is the part of a node's view that scripts wait for.
 type nodeView struct {
-	Config    string                       `json:"config"`
-	Upstreams map[string][]json.RawMessage `json:"upstreams"`
+	Config    string                    `json:"config"`
+	Upstreams map[string][]viewUpstream `json:"upstreams"`
+}
+
+// viewUpstream is one upstream in a node's view.
+type viewUpstream struct {
+	ID      string `json:"id"`
+	Ejected bool   `json:"ejected"`
+}
+
+// version returns the version in force, or the zero version if there is none.
+func (v *nodeView) version() (resource.Version, error) {
+	if v.Config == "" {
+		return resource.Version{}, nil
+	}
+	return apiv1.ParseVersion(v.Config)
 }
 
 func (w *world) waitReady(countText, boundText string) error {
@@ -192,20 +208,16 @@
 // knows returns nil if the node has a configuration no older than applied and
 // knows that many upstreams.
 func (n *fleetNode) knows(upstreams int, applied resource.Version) error {
-	_, body, err := get("http://" + n.addr(portDebug) + "/v1/view")
+	v, err := n.view()
 	if err != nil {
 		return err
 	}
-	var v nodeView
-	if err := json.Unmarshal(body, &v); err != nil {
-		return fmt.Errorf("view of %s: %w", n.name, err)
-	}
 	known := 0
 	for _, list := range v.Upstreams {
 		known += len(list)
 	}
-	version, err := apiv1.ParseVersion(v.Config)
-	if err != nil || version.Less(applied) || known != upstreams {
+	version, err := v.version()
+	if err != nil || v.Config == "" || version.Less(applied) || known != upstreams {
 		return fmt.Errorf("%s knows configuration %q (%s was applied) and %d upstreams of %d", n.name, v.Config, applied, known, upstreams)
 	}
 	return nil
--- a/scenario/versions.go
+++ b/scenario/versions.go
@@ -7,28 +7,33 @@
 	"sync"
 	"time"
 
-	"github.com/godwithub/godwithub/control/apiv1"
 	"github.com/godwithub/godwithub/resource"
 )
 
 // watchInterval is the time between two looks at a node's version.
 const watchInterval = 50 * time.Millisecond
 
+// view returns what a node knows of the fleet.
+func (n *fleetNode) view() (*nodeView, error) {
+	_, body, err := get("http://" + n.addr(portDebug) + "/v1/view")
+	if err != nil {
+		return nil, err
+	}
+	v := new(nodeView)
+	if err := json.Unmarshal(body, v); err != nil {
+		return nil, fmt.Errorf("view of %s: %w", n.name, err)
+	}
+	return v, nil
+}
+
 // version returns the configuration version in force at a node. The zero
 // version stands for none.
 func (n *fleetNode) version() (resource.Version, error) {
-	_, body, err := get("http://" + n.addr(portDebug) + "/v1/view")
+	v, err := n.view()
 	if err != nil {
 		return resource.Version{}, err
 	}
-	var v nodeView
-	if err := json.Unmarshal(body, &v); err != nil {
-		return resource.Version{}, fmt.Errorf("view of %s: %w", n.name, err)
-	}
-	if v.Config == "" {
-		return resource.Version{}, nil
-	}
-	return apiv1.ParseVersion(v.Config)
+	return v.version()
 }
 
 // waitApplied waits until all running nodes have the last written version. The
@@ -79,10 +84,40 @@
 	newest   map[string]resource.Version
 	reverted []string
 	samples  int
+	// ejected is the most upstreams of each service that one view has shown as
+	// ejected.
+	ejected map[string]int
+}
+
+func countEjected(list []viewUpstream) (n int) {
+	for _, u := range list {
+		if u.Ejected {
+			n++
+		}
+	}
+	return n
+}
+
+// checkEjected checks that no view has shown more ejected upstreams of a
+// service.
+func (v *versionWatch) checkEjected(service, text string) error {
+	if v == nil {
+		return misused("fleet watch comes first")
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil {
+		return misused("%q is no number of upstreams", text)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if n := v.ejected[service]; n > limit {
+		return fmt.Errorf("%d upstreams of %s were ejected at the same time, %d allowed", n, service, limit)
+	}
+	return nil
 }
 
 func newVersionWatch(w *world) *versionWatch {
-	v := &versionWatch{newest: map[string]resource.Version{}}
+	v := &versionWatch{newest: map[string]resource.Version{}, ejected: map[string]int{}}
 	go func() {
 		for {
 			select {
@@ -102,13 +137,20 @@
 }
 
 func (v *versionWatch) sample(n *fleetNode) {
-	got, err := n.version()
+	view, err := n.view()
+	if err != nil {
+		return
+	}
+	got, err := view.version()
 	if err != nil || got == (resource.Version{}) {
 		return
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.samples++
+	for service, list := range view.Upstreams {
+		v.ejected[service] = max(v.ejected[service], countEjected(list))
+	}
 	if newest := v.newest[n.name]; got.Less(newest) {
 		v.reverted = append(v.reverted, fmt.Sprintf("%s went back from %s to %s", n.name, newest, got))
 		return
