--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -219,7 +219,7 @@
 			reason = outcome.ReasonShed
 			s.in.stats.shedEarly.Add(1)
 			req.Tried = append(req.Tried[:len(req.Tried):len(req.Tried)], u.ID)
-		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes+int64(len(s.rq.body))):
+		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes):
 			reason = outcome.ReasonShed
 			req.CrossAllowed = false
 		default:
--- a/node/new.go
+++ b/node/new.go
@@ -94,6 +94,9 @@
 		View:   n.board.View,
 		Dialer: n.dialer,
 		Record: n.countFinished,
+		CrossRegion: func(level int, answerBytes int64) bool {
+			return n.crossing.allow(n.board.View(), level, answerBytes)
+		},
 		Claims: n.groups.client,
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,7 @@
 	crashes    *crashes
 	burn       *burn.Recorder
 	groups     *groups
+	crossing   crossing
 
 	observations chan dispatch.Observation
 	dropped      expvar.Int // observations
