gossip: name things by the usual terms

Cause: a few names were figurative. Change: renames in gossip and its tests; no behaviour changes. Measured: go test ./gossip passes; not measured otherwise.

--- a/gossip/core_test.go
+++ b/gossip/core_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against a node that receives nothing spreading deaths of others.
-func TestDeafNodeDoesNotKillOthers(t *testing.T) {
+func TestNodeThatReceivesNothingDoesNotKillOthers(t *testing.T) {
 	s := newSim(t, 10, 2, 2)
 	s.cut = func(_, to string) bool { return to == addrOf(0) }
 	s.run(2 * time.Minute)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -92,7 +92,7 @@
 	tasks.Go(func() { g.runExchanges(ctx) })
 	tasks.Go(func() { g.events.run(ctx) })
 	<-ctx.Done()
-	g.farewell()
+	g.announceEnd()
 	err := g.conn.Close()
 	tasks.Wait()
 	return err
@@ -252,9 +252,9 @@
 	return queued && g.core.size() > 1
 }
 
-// farewell tells others that a node which left has ended, so that they need
+// announceEnd tells others that a node which left has ended, so that they need
 // not find out.
-func (g *Gossip) farewell() {
+func (g *Gossip) announceEnd() {
 	g.do(func(c *core, now time.Time) {
 		if c.self.status.State == fleet.NodeLeaving {
 			c.setOwnState(now, fleet.NodeDead)
--- a/gossip/queue.go
+++ b/gossip/queue.go
@@ -15,9 +15,9 @@
 // and the queue holds more than fits one datagram.
 const backlog = 16
 
-// storm is the length from which a node no longer relies on the queue alone;
+// longBacklog is the length from which a node no longer relies on the queue alone;
 // see compareTables. It is reached when many nodes start at once.
-const storm = 8 * backlog
+const longBacklog = 8 * backlog
 
 // part names one part of a node's record. A queued change replaces an older
 // one of the same part.
--- a/gossip/sim_test.go
+++ b/gossip/sim_test.go
@@ -12,13 +12,13 @@
 
 // sim runs cores on a network in memory under a clock of its own.
 type sim struct {
-	t     testing.TB
-	now   time.Time
-	rand  *rand.Rand
-	cores map[string]*core // by address; a stopped node has none
-	nodes []*core
-	mail  mailbox
-	sent  int
+	t       testing.TB
+	now     time.Time
+	rand    *rand.Rand
+	cores   map[string]*core // by address; a stopped node has none
+	nodes   []*core
+	pending deliveries
+	sent    int
 	// cut says whether datagrams from one address to another are lost.
 	cut    func(from, to string) bool
 	loss   float64
@@ -27,25 +27,25 @@
 	bytes  int                           // sent, with all headers
 }
 
-type letter struct {
+type delivery struct {
 	at       time.Time
 	order    int
 	from, to string
 	packet   packet
 }
 
-type mailbox []letter
+type deliveries []delivery
 
-func (m mailbox) Len() int { return len(m) }
-func (m mailbox) Less(i, j int) bool {
+func (m deliveries) Len() int { return len(m) }
+func (m deliveries) Less(i, j int) bool {
 	if !m[i].at.Equal(m[j].at) {
 		return m[i].at.Before(m[j].at)
 	}
 	return m[i].order < m[j].order
 }
-func (m mailbox) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
-func (m *mailbox) Push(x any)   { *m = append(*m, x.(letter)) }
-func (m *mailbox) Pop() any {
+func (m deliveries) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m *deliveries) Push(x any)   { *m = append(*m, x.(delivery)) }
+func (m *deliveries) Pop() any {
 	old := *m
 	last := old[len(old)-1]
 	*m = old[:len(old)-1]
@@ -146,7 +146,7 @@
 			continue
 		}
 		delay := time.Millisecond + time.Duration(s.rand.Int64N(int64(30*time.Millisecond)))
-		heap.Push(&s.mail, letter{s.now.Add(delay), s.sent, from, p.addr, p})
+		heap.Push(&s.pending, delivery{s.now.Add(delay), s.sent, from, p.addr, p})
 	}
 }
 
@@ -161,8 +161,8 @@
 				at, due = wake, s.nodes[i]
 			}
 		}
-		if len(s.mail) > 0 && !s.mail[0].at.After(at) {
-			l := heap.Pop(&s.mail).(letter)
+		if len(s.pending) > 0 && !s.pending[0].at.After(at) {
+			l := heap.Pop(&s.pending).(delivery)
 			s.now = l.at
 			s.deliver(l)
 			continue
@@ -180,7 +180,7 @@
 	}
 }
 
-func (s *sim) deliver(l letter) {
+func (s *sim) deliver(l delivery) {
 	c := s.cores[l.to]
 	if c == nil {
 		return
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -56,7 +56,7 @@
 	}
 	// While very many changes are under way, tables don't stay as they are, and
 	// an exchange moves them at a fraction of the cost.
-	if t.differs.IsZero() || t.at != own && len(c.queue.items) < storm {
+	if t.differs.IsZero() || t.at != own && len(c.queue.items) < longBacklog {
 		t.differs = now
 	}
 	t.at = own
@@ -67,7 +67,7 @@
 // table has differed for some time while the own one stayed as it was.
 func (c *core) repairPartner(now time.Time) (addr string, ok bool) {
 	t := &c.table
-	if t.differs.IsZero() || t.at != c.tableHash() && len(c.queue.items) < storm || now.Sub(t.differs) < settleTime ||
+	if t.differs.IsZero() || t.at != c.tableHash() && len(c.queue.items) < longBacklog || now.Sub(t.differs) < settleTime ||
 		now.Sub(t.repaired) < c.cfg.RepairInterval {
 		return "", false
 	}
