trials: let time pass between the timed summaries

Cause: at a standing clock the pool returns its cached baseline, and the cost of computing it was not seen. Change: the clock moves between summaries. Conclusion: a fault of the measurement.

--- a/internal/trials/cost.go
+++ b/internal/trials/cost.go
@@ -47,9 +47,10 @@
 	})
 	measure("request: crash Refused", costRounds, func(i int) { costTracker.Refused(epoch, crash.Fingerprint(i)) })
 	measure("event: summary, pool and baseline of one upstream", costRounds/100, func(i int) {
-		w := i % d.Workers
-		m.observe(epoch, w, 0, health.Succeeded, 20*time.Millisecond)
-		m.second(epoch, w)
+		// Upstreams send at different times, so each summary renews the baseline.
+		w, now := i%d.Workers, epoch.Add(time.Duration(i)*health.Interval/time.Duration(d.Workers))
+		m.observe(now, w, 0, health.Succeeded, 20*time.Millisecond)
+		m.second(now, w)
 	})
 	c := newController(s, Methods[0])
 	measure("event: ledger command with all upstreams, encoded", costRounds/100, func(int) {
