--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -37,3 +37,15 @@
 	}
 	testscript.Run(t, Params("testdata", programs))
 }
+
+// measureVariable makes TestMeasureControl run.
+const measureVariable = "GODWITHUB_MEASURE"
+
+// Measures the control group for docs/measurements-control.md. It takes a
+// minute of a quiet machine and checks nothing that depends on speed.
+func TestMeasureControl(t *testing.T) {
+	if os.Getenv(measureVariable) == "" {
+		t.Skip(measureVariable + " is not set")
+	}
+	testscript.Run(t, Params("testdata/measure", programs))
+}
