Withdraw upstreams that refuse connections; report the queue ahead by rank

Change: a refused connection withdraws the upstream in the fleet until it announces itself again; answers carry the queue ahead of each rank.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -24,10 +24,18 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
-	u.setDown(true)
 	d.log.Warn("upstream crashed", "upstream", u.id, "in_flight", len(inFlight))
 	if d.cfg.Crashes != nil {
 		d.cfg.Crashes.Crashed(u.id, u.service, inFlight)
 	}
+	d.refusesConnections(u)
 	return true
 }
+
+// refusesConnections withdraws an upstream whose process is gone. With all its
+// slots free it would draw work from every ingress until its lease ends, only to
+// refuse it.
+func (d *Dispatcher) refusesConnections(u *upstream) {
+	d.Withdraw(u.id)
+	d.cfg.Gone(u.id)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -18,7 +18,8 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-// Config holds what a Dispatcher needs. All fields but Claims are required.
+// Config holds what a Dispatcher needs. Log, Dialer, Configuration, Observe and Gone
+// are required.
 type Config struct {
 	Log *slog.Logger
 	// Dialer opens streams to other dispatchers, for relays.
@@ -29,6 +30,9 @@
 	Observe func(Observation)
 	// Claims holds idempotency keys. Nil: requests that need a claim are refused.
 	Claims idempotency.Claims
+	// Gone is told of upstreams that refuse connections. They are withdrawn until
+	// they announce themselves again. It must not block.
+	Gone func(fleet.UpstreamID)
 	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
 	Crashes Crashes
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/logging"
@@ -57,6 +59,7 @@
 		Log:           logging.Discard(),
 		Configuration: func() *resource.Config { return nil },
 		Observe:       func(Observation) {},
+		Gone:          func(fleet.UpstreamID) {},
 		Claims:        claims,
 	})
 	b.Register(b.mux)
@@ -199,3 +202,18 @@
 		assert.Equal(t, b.runs.Load(), int64(1), name)
 	}
 }
+
+// Guards against an upstream that has died and goes on to draw work until its
+// lease ends, since all its slots are free.
+func TestRefusedConnectionWithdrawsTheUpstream(t *testing.T) {
+	b := newBench(t, nil, answerOK)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ln.Close()
+	b.ann.Addr = ln.Addr().String()
+	b.Announce(b.ann)
+	_, end := finish(t, begin(t, b, orderHead("a")))
+	assert.Equal(t, end.Reason, outcome.ReasonConnect)
+	_, end = finish(t, begin(t, b, orderHead("b")))
+	assert.Equal(t, end.Reason, outcome.ReasonUpstreamGone)
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/godwithub/godwithub/admission"
@@ -86,7 +87,6 @@
 		// A crash shows by itself; it is no sign of a gray failure.
 		result = ResultRefused
 	}
-	u.noteConnect(e)
 	if d.cfg.Crashes != nil && e.Outcome == outcome.Answered {
 		d.cfg.Crashes.Completed(head.Fingerprint)
 	}
@@ -146,6 +146,9 @@
 	req, sent := newRequest(ctx, u, head, body)
 	resp, err := u.client.RoundTrip(req)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			d.refusesConnections(u)
+		}
 		return classify(ctx, err, sent.Load())
 	}
 	defer resp.Body.Close()
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -39,15 +39,13 @@
 	draining bool
 	closed   bool
 	suspect  bool
-	// down says that the upstream refused a connection. Until it answers or
-	// announces itself again, ingresses are told to avoid it: it has free slots
-	// and would draw work only to refuse it.
-	down    bool
-	queue   *admission.Queue
-	waiting map[uint64]chan outcome.Ended
-	nextID  uint64
+	queue    *admission.Queue
+	waiting  map[uint64]chan outcome.Ended
+	nextID   uint64
 	// running holds the fingerprints of the requests at the upstream.
 	running map[uint64]uint64
+	// levels are the rank levels that exist.
+	levels []int
 }
 
 func newUpstream(a announce.Announcement, now time.Time) *upstream {
@@ -71,7 +69,6 @@
 	u.slots = min(a.Slots, a.Connections)
 	u.queue.SetSlots(u.slots)
 	u.draining = a.Draining
-	u.down = false
 	if u.draining {
 		u.refuseQueue(outcome.ReasonDraining)
 	}
@@ -81,6 +78,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.queue.SetRanks(ranks)
+	u.levels = u.levels[:0]
+	for _, r := range ranks {
+		u.levels = append(u.levels, r.Level)
+	}
 }
 
 // close refuses the queue. Running requests go on.
@@ -211,22 +212,6 @@
 	return true
 }
 
-func (u *upstream) setDown(down bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.down = down
-}
-
-// noteConnect keeps account of whether the upstream accepts connections.
-func (u *upstream) noteConnect(e outcome.Ended) {
-	switch {
-	case e.Outcome == outcome.Answered:
-		u.setDown(false)
-	case e == outcome.HasNotRun(outcome.ReasonConnect):
-		u.setDown(true)
-	}
-}
-
 // inFlight returns the fingerprints of the requests at the upstream.
 func (u *upstream) inFlight() []uint64 {
 	u.mu.Lock()
@@ -242,15 +227,23 @@
 func (u *upstream) load() wire.Load {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	threshold := u.queue.Threshold(time.Now())
+	now := time.Now()
+	threshold := u.queue.Threshold(now)
+	var ahead []wire.LevelQueue
+	if len(u.waiting) > 0 {
+		for _, level := range u.levels {
+			ahead = append(ahead, wire.LevelQueue{Level: level, Ahead: u.queue.Ahead(now, level)})
+		}
+	}
 	return wire.Load{
+		Ahead:      ahead,
 		SlotsInUse: u.inUse,
 		Slots:      u.slots,
 		Queued:     len(u.waiting),
 		ShedLevel:  threshold.Level,
 		ShedShare:  threshold.Share,
 		Refused:    threshold.Refused,
-		Suspect:    u.suspect || u.down,
+		Suspect:    u.suspect,
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -194,8 +194,9 @@
 
 var _ http.Handler = (*Ingress)(nil)
 
-// candidates describes the upstreams of a service to balance.Pick.
-func (in *Ingress) candidates(v *board.View, service string, now time.Time) ([]balance.Candidate, []board.Upstream) {
+// candidates describes the upstreams of a service to balance.Pick, as they are
+// for work of a level.
+func (in *Ingress) candidates(v *board.View, service string, level int, now time.Time) ([]balance.Candidate, []board.Upstream) {
 	list := v.Upstreams[service]
 	out := make([]balance.Candidate, len(list))
 	for i := range list {
@@ -208,7 +209,7 @@
 			FailureDomain: u.FailureDomain,
 			Slots:         u.Slots,
 			InUse:         load.inUse,
-			Queued:        load.queued,
+			Queued:        load.queued(level),
 			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
 			Ejected:       u.Ejected,
 			Trial:         u.Trial,
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -195,7 +195,7 @@
 // pick chooses an upstream. Upstreams whose queue refuses such work are left
 // out, so that an overload is refused here at no cost to the slots.
 func (s *serving) pick(now time.Time) (*board.Upstream, outcome.Reason) {
-	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, now)
+	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, s.rq.level, now)
 	req := balance.Request{
 		Region:        s.v.Self.Region,
 		FailureDomain: s.v.Self.FailureDomain,
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -20,10 +20,11 @@
 
 // load is what this ingress knows of the load of an upstream.
 type load struct {
-	inUse, queued int
-	suspect       bool
-	threshold     admission.Threshold
-	at            time.Time
+	inUse     int
+	ahead     []wire.LevelQueue
+	suspect   bool
+	threshold admission.Threshold
+	at        time.Time
 }
 
 // loadTable holds the load of upstreams as answers reported it, plus the
@@ -81,6 +82,16 @@
 	return l
 }
 
+// queued returns how many requests wait ahead of one of a level.
+func (l *load) queued(level int) int {
+	for _, q := range l.ahead {
+		if q.Level == level {
+			return q.Ahead
+		}
+	}
+	return 0
+}
+
 // refuses reports whether the upstream's queue would refuse the request.
 func (t *loadTable) refuses(id fleet.UpstreamID, rq *request, now time.Time) bool {
 	l := t.get(id, now)
@@ -105,7 +116,7 @@
 	e.atReport = e.pending
 	e.reported = load{
 		inUse:     l.SlotsInUse,
-		queued:    l.Queued,
+		ahead:     l.Ahead,
 		suspect:   l.Suspect,
 		threshold: l.Threshold(),
 		at:        now,
--- a/node/new.go
+++ b/node/new.go
@@ -83,6 +83,7 @@
 		Dialer:        n.dialer,
 		Configuration: configuration,
 		Observe:       n.observe,
+		Gone:          func(id fleet.UpstreamID) { go n.post(board.Withdrawn{ID: id}) },
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
 	})
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -49,17 +49,3 @@
 	}
 	testscript.Run(t, Params("testdata/measure", programs))
 }
-
-// runRed runs one script that fails because of a fault listed in
-// KNOWN-RED.txt. Each has a test of its own, so that it can be passed over by
-// name; it moves to testdata once it passes.
-func runRed(t *testing.T, script string) {
-	if testing.Short() {
-		t.Skip("starts many processes")
-	}
-	p := Params("", programs)
-	p.Files = []string{"testdata/red/" + script}
-	testscript.Run(t, p)
-}
-
-func TestRedKillUpstreamShare(t *testing.T) { runRed(t, "f1_kill_upstream_share.txtar") }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -130,10 +130,20 @@
 	ShedLevel int                      `cbor:"4,keyasint"`
 	ShedShare float64                  `cbor:"5,keyasint"`
 	Refused   []admission.RefusedShare `cbor:"7,keyasint,omitempty"`
+	// Ahead holds, by level, how many requests wait ahead of one of that level.
+	// The length of the queue says little about one rank: an urgent one passes
+	// the others. Empty: nothing waits.
+	Ahead []LevelQueue `cbor:"8,keyasint,omitempty"`
 	// Suspect says that the dispatcher holds the upstream for unhealthy.
 	Suspect bool `cbor:"6,keyasint,omitempty"`
 }
 
+// LevelQueue is the queue ahead of one rank level.
+type LevelQueue struct {
+	Level int `cbor:"1,keyasint"`
+	Ahead int `cbor:"2,keyasint"`
+}
+
 // Threshold returns the admission threshold in l.
 func (l *Load) Threshold() admission.Threshold {
 	return admission.Threshold{Level: l.ShedLevel, Share: l.ShedShare, Refused: l.Refused}
