Keep the horizon in full deltas; let list flags replace the environment

Change: a full delta carries its sender's horizon; lists are held back while flags are parsed. Tests for both. Measured: in TestFullDeltaKeepsTheHorizon the delta holds 1 change and 1 deletion; before it was full.

--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -41,6 +41,25 @@
 	return next
 }
 
+// Guards against a node that has just started and answers every question for a
+// small change with the whole configuration.
+func TestFullDeltaKeepsTheHorizon(t *testing.T) {
+	source := NewSet(Version{Epoch: 1})
+	for i := range uint64(10) {
+		source.Put(&Caller{Meta: Meta{Name: string(rune('a' + i)), Revision: source.Advance()}, Weight: 1})
+	}
+	source.Advance()
+	source.Remove(Key{TypeCaller, "a"})
+	full, err := source.Since(Version{})
+	assert.NilError(t, err)
+	assert.Assert(t, full.Full)
+	started, err := NewSet(Version{}).Apply(full)
+	assert.NilError(t, err)
+	d, err := started.Since(Version{1, 9})
+	assert.NilError(t, err)
+	assert.Assert(t, !d.Full && len(d.Changed) == 1 && len(d.Deleted) == 1)
+}
+
 // Guards against a configuration that reverts.
 func TestApplyRefusesOlderVersions(t *testing.T) {
 	s := NewSet(Version{Epoch: 2, Revision: 5})
--- a/resource/set.go
+++ b/resource/set.go
@@ -37,6 +37,10 @@
 	Full    bool        `cbor:"3,keyasint"`
 	Changed []Envelope  `cbor:"4,keyasint"`
 	Deleted []Tombstone `cbor:"5,keyasint"`
+	// Horizon, of a full delta, is the oldest revision from which its receiver
+	// can compute deltas. Without it, a node that has just started could serve
+	// nothing but full deltas.
+	Horizon uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Set is a versioned set of objects. Each object carries the revision that
@@ -124,6 +128,9 @@
 func (s *Set) Since(v Version) (Delta, error) {
 	d := Delta{From: v, To: s.version}
 	d.Full = v.Epoch != s.version.Epoch || v.Revision < s.horizon
+	if d.Full {
+		d.Horizon = s.horizon
+	}
 	for _, o := range s.objects {
 		if !d.Full && o.Metadata().Revision <= v.Revision {
 			continue
@@ -169,7 +176,7 @@
 	next := &Set{version: d.To, horizon: s.horizon}
 	if d.Full {
 		next.objects, next.tombstones = make(map[Key]Object, len(d.Changed)), map[Key]uint64{}
-		next.horizon = d.To.Revision
+		next.horizon = d.Horizon
 	} else {
 		next.objects, next.tombstones = maps.Clone(s.objects), maps.Clone(s.tombstones)
 	}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -34,9 +34,11 @@
 	parser.Description = p.Description
 	parser.Version = p.Version
 	AddFlags(&parser.Subcommand, target)
+	restore := HoldLists(target)
 	if err := parser.ParseArgs(args); err != nil {
 		return errors.Join(envErr, fmt.Errorf("settings: %w", err))
 	}
+	restore()
 	splitLists(target)
 	if len(parser.TrailingArguments) > 0 {
 		return fmt.Errorf("settings: unexpected argument %q", parser.TrailingArguments[0])
@@ -44,6 +46,25 @@
 	return errors.Join(envErr, Check(target))
 }
 
+// HoldLists empties the lists of target until restore is called, which gives
+// back those that flags have not set. A flag would otherwise add to the
+// environment's value or the default instead of replacing it.
+func HoldLists(target any) (restore func()) {
+	held := map[*[]string][]string{}
+	eachField(target, func(_ reflect.StructField, v reflect.Value) {
+		if list, ok := v.Addr().Interface().(*[]string); ok {
+			held[list], *list = *list, nil
+		}
+	})
+	return func() {
+		for list, value := range held {
+			if *list == nil {
+				*list = value
+			}
+		}
+	}
+}
+
 // splitLists splits the elements of fields tagged list:"comma", so that a flag
 // takes several values at once, as its environment variable does.
 func splitLists(target any) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -44,6 +44,14 @@
 	assert.DeepEqual(t, s.Peers, []string{"127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"})
 }
 
+// Guards against a flag that adds to the environment's list.
+func TestListFlagReplacesTheEnvironment(t *testing.T) {
+	t.Setenv("GODWITHUB_SAMPLE_PEERS", "127.0.0.1:2,127.0.0.1:3")
+	s := sample{Addr: "127.0.0.1:1", Timeout: time.Second, Count: 3, Peers: []string{"127.0.0.1:9"}}
+	assert.NilError(t, Parse(program, &s, []string{"-sample-peers", "127.0.0.1:4"}))
+	assert.DeepEqual(t, s.Peers, []string{"127.0.0.1:4"})
+}
+
 // Guards against a malformed variable that is taken for the zero value.
 func TestMalformedEnvironmentIsAFault(t *testing.T) {
 	t.Setenv("GODWITHUB_SAMPLE_COUNT", "many")
