--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -195,7 +195,7 @@
 // pick chooses an upstream. Upstreams whose queue refuses such work are left
 // out, so that an overload is refused here at no cost to the slots.
 func (s *serving) pick(now time.Time) (*board.Upstream, outcome.Reason) {
-	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, now)
+	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, s.rq.level, now)
 	req := balance.Request{
 		Region:        s.v.Self.Region,
 		FailureDomain: s.v.Self.FailureDomain,
@@ -219,7 +219,7 @@
 			reason = outcome.ReasonShed
 			s.in.stats.shedEarly.Add(1)
 			req.Tried = append(req.Tried[:len(req.Tried):len(req.Tried)], u.ID)
-		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes+int64(len(s.rq.body))):
+		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes):
 			reason = outcome.ReasonShed
 			req.CrossAllowed = false
 		default:
--- a/node/new.go
+++ b/node/new.go
@@ -83,6 +83,7 @@
 		Dialer:        n.dialer,
 		Configuration: configuration,
 		Observe:       n.observe,
+		Gone:          func(id fleet.UpstreamID) { go n.post(board.Withdrawn{ID: id}) },
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
 	})
@@ -94,6 +95,9 @@
 		View:   n.board.View,
 		Dialer: n.dialer,
 		Record: n.countFinished,
+		CrossRegion: func(level int, answerBytes int64) bool {
+			return n.crossing.allow(n.board.View(), level, answerBytes)
+		},
 		Claims: n.groups.client,
 	})
 }
