--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -190,11 +190,13 @@
 func (d *Dialer) stopWaiting(addr string, wait chan dialed) *conn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	// A peer with a waiter is never dropped.
-	p := d.peers[addr]
-	if i := slices.Index(p.waiters, wait); i >= 0 {
-		p.waiters = slices.Delete(p.waiters, i, i+1)
-		return nil
+	// A peer with a waiter is never dropped, but one whose last waiter has just
+	// been served may be.
+	if p := d.peers[addr]; p != nil {
+		if i := slices.Index(p.waiters, wait); i >= 0 {
+			p.waiters = slices.Delete(p.waiters, i, i+1)
+			return nil
+		}
 	}
 	return (<-wait).conn
 }
