Add a count of 100,000 keyed orders under kills and cuts

Cause: at most once was shown on 1,200 to 8,000 orders. Change: TestMeasureKeyed, run by hand, kills dispatchers, ingresses and replicas of the claims one after the other.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -38,14 +38,24 @@
 	testscript.Run(t, Params("testdata", programs))
 }
 
-// measureVariable makes TestMeasureControl run.
+// measureVariable makes the tests run that measure.
 const measureVariable = "GODWITHUB_MEASURE"
 
-// Measures the control group for docs/measurements-control.md. It takes a
-// minute of a quiet machine and checks nothing that depends on speed.
-func TestMeasureControl(t *testing.T) {
+// measure runs a script of testdata/measure. It takes minutes of a quiet
+// machine, and is no part of CI.
+func measure(t *testing.T, script string) {
 	if os.Getenv(measureVariable) == "" {
 		t.Skip(measureVariable + " is not set")
 	}
-	testscript.Run(t, Params("testdata/measure", programs))
+	p := Params("", programs)
+	p.Files = []string{"testdata/measure/" + script}
+	testscript.Run(t, p)
 }
+
+// Measures the control group for docs/measurements-control.md. It checks
+// nothing that depends on speed.
+func TestMeasureControl(t *testing.T) { measure(t, "control.txtar") }
+
+// Counts orders that run twice, or run although they were reported as not run,
+// among 100,000 under kills, cuts and resends.
+func TestMeasureKeyed(t *testing.T) { measure(t, "keyed.txtar") }
