Pass calls of groups on when the path to their leader is cut

Cause: TestMeasureKeyed stopped: with one direction between n1 and the leader of the group cut, the dispatcher of n1 got no claims for 30 s and its upstream no orders (all 'claim-unavailable', so safe), while other nodes reached the leader. Change: for 3 s after the path to a node failed, calls go through another node, which passes them on once. A test over pipes.

--- a/bench/idle.go
+++ b/bench/idle.go
@@ -133,7 +133,8 @@
 	}
 	p.control, err = p.run("godwithub-control", "-node-id", "control", "-region", "r", "-failure-domain", "a",
 		"-link-addr", idleAddr(0, 7000), "-gossip-addr", idleAddr(0, 7001), "-api-addr", idleAddr(0, 7443),
-		"-data-dir", filepath.Join(p.dir, "data"), "-keys", dir, "-token-file", tokens, "-seeds", idleAddr(1, 7000))
+		"-data-dir", filepath.Join(p.dir, "data"), "-keys", dir, "-token-file", tokens, "-seeds", idleAddr(1, 7000),
+		"-founders", "control="+idleAddr(0, 7000)+"/"+idleAddr(0, 7443))
 	if err != nil {
 		return err
 	}
--- a/idempotency/call.go
+++ b/idempotency/call.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
@@ -19,6 +20,9 @@
 	Epoch  uint64 `cbor:"2,keyasint"`
 	Ops    []Op   `cbor:"3,keyasint,omitempty"`
 	Ledger []byte `cbor:"4,keyasint,omitempty"`
+	// To is the node that the call is for, if another one is asked to pass it
+	// on. That node does not pass it on again.
+	To fleet.NodeID `cbor:"5,keyasint,omitempty"`
 }
 
 // Refusal says why a call has no results.
@@ -60,10 +64,60 @@
 	// Self and Local serve calls to this node without a link. Local may be nil.
 	Self  fleet.NodeID
 	Local *Host
+	// Relay returns the link address of a node that can pass calls for another
+	// one on, or "". Nil: there is none.
+	Relay func(to fleet.NodeID) string
+
+	mu sync.Mutex
+	// failed holds when the path to a node last failed.
+	failed map[fleet.NodeID]time.Time
 }
 
+// relayFor is how long calls to a node go through a relay after its path has
+// failed. A leader that one node cannot reach, while the others can, would
+// otherwise leave that node without claims.
+const relayFor = 3 * time.Second
+
 // Call implements Caller.
 func (l *LinkCaller) Call(ctx context.Context, node fleet.NodeID, c GroupCall) (GroupReply, error) {
+	if l.Local != nil && node == l.Self {
+		return l.Local.Serve(ctx, c), nil
+	}
+	if l.hasFailed(node) {
+		if addr := l.Relay(node); addr != "" {
+			c.To = node
+			return l.send(ctx, addr, c)
+		}
+	}
+	reply, err := l.Direct(ctx, node, c)
+	if err != nil && l.Relay != nil {
+		l.noteFailure(node)
+	}
+	return reply, err
+}
+
+func (l *LinkCaller) hasFailed(node fleet.NodeID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.failed[node]
+	if ok && time.Since(at) > relayFor {
+		delete(l.failed, node)
+		return false
+	}
+	return ok
+}
+
+func (l *LinkCaller) noteFailure(node fleet.NodeID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed == nil {
+		l.failed = map[fleet.NodeID]time.Time{}
+	}
+	l.failed[node] = time.Now()
+}
+
+// Direct sends a call to a node without a relay.
+func (l *LinkCaller) Direct(ctx context.Context, node fleet.NodeID, c GroupCall) (GroupReply, error) {
 	if l.Local != nil && node == l.Self {
 		return l.Local.Serve(ctx, c), nil
 	}
@@ -71,6 +125,10 @@
 	if addr == "" {
 		return GroupReply{}, fmt.Errorf("idempotency: no address of node %s", node)
 	}
+	return l.send(ctx, addr, c)
+}
+
+func (l *LinkCaller) send(ctx context.Context, addr string, c GroupCall) (GroupReply, error) {
 	s, err := l.Dialer.Open(ctx, addr)
 	if err != nil {
 		return GroupReply{}, err
--- /dev/null
+++ b/idempotency/call_test.go
@@ -0,0 +1,63 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// cutDialer reaches one host, under the address "relay", and no other.
+type cutDialer struct {
+	mux    *link.Mux
+	direct int
+}
+
+func (d *cutDialer) Open(_ context.Context, addr string) (link.Stream, error) {
+	if addr != "relay" {
+		d.direct++
+		return nil, errors.New("cut")
+	}
+	near, far := link.Pipe("a", "relay")
+	d.mux.Start(far)
+	return near, nil
+}
+func (d *cutDialer) Replace(string) {}
+func (d *cutDialer) Close() error   { return nil }
+
+// Guards against a node that can make no claims because the path to the leader
+// of the group is cut, while other nodes reach the leader.
+func TestCallsGoThroughARelay(t *testing.T) {
+	forwarded := make(chan GroupCall, 1)
+	relay := &Host{cfg: HostConfig{
+		Node: "relay", Log: logging.Discard(),
+		Forward: func(_ context.Context, to fleet.NodeID, c GroupCall) (GroupReply, error) {
+			assert.Check(t, to == "leader" && c.To == "")
+			forwarded <- c
+			return GroupReply{Results: []Result{{Status: StatusGranted}}}, nil
+		},
+	}}
+	d := &cutDialer{mux: link.NewMux(logging.Discard())}
+	d.mux.Handle(wire.FrameGroupCall, relay.Handle)
+	caller := &LinkCaller{
+		Dialer:  d,
+		Resolve: func(id fleet.NodeID) string { return string(id) },
+		Self:    "a",
+		Relay:   func(fleet.NodeID) string { return "relay" },
+	}
+	_, err := caller.Call(t.Context(), "leader", GroupCall{Group: "g", Epoch: 1})
+	assert.ErrorContains(t, err, "cut")
+	for range 2 {
+		reply, err := caller.Call(t.Context(), "leader", GroupCall{Group: "g", Epoch: 1})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Results[0].Status, StatusGranted)
+		assert.Equal(t, (<-forwarded).Group, "g")
+	}
+	assert.Equal(t, d.direct, 1)
+}
--- a/idempotency/host.go
+++ b/idempotency/host.go
@@ -61,6 +61,9 @@
 	// were assigned before are lost and are never run again.
 	Incarnation uint64
 	Transport   GroupTransport
+	// Forward sends a call for another node on, to callers that cannot reach
+	// that node. Nil: such calls are served here.
+	Forward func(ctx context.Context, node fleet.NodeID, c GroupCall) (GroupReply, error)
 	// NewLedger returns an empty state machine that shares the group. nil: none.
 	NewLedger func(group string) consensus.StateMachine
 	// Table returns the limits of a group's table.
@@ -325,13 +328,30 @@
 		s.Reset()
 		return
 	}
-	if err := writeSized(s, wire.FrameGroupResult, h.Serve(ctx, c)); err != nil {
+	reply, err := h.serveOrForward(ctx, c)
+	if err != nil {
+		s.Reset()
+		return
+	}
+	if err := writeSized(s, wire.FrameGroupResult, reply); err != nil {
 		s.Reset()
 		return
 	}
 	s.Close()
 }
 
+// serveOrForward passes a call for another node on.
+func (h *Host) serveOrForward(ctx context.Context, c GroupCall) (GroupReply, error) {
+	if c.To == "" || c.To == h.cfg.Node || h.cfg.Forward == nil {
+		return h.Serve(ctx, c), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	to := c.To
+	c.To = ""
+	return h.cfg.Forward(ctx, to, c)
+}
+
 // Serve has a call committed by the group, if this node leads it.
 func (h *Host) Serve(ctx context.Context, c GroupCall) GroupReply {
 	h.mu.Lock()
--- a/node/groups.go
+++ b/node/groups.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/godwithub/godwithub/board"
@@ -34,6 +35,7 @@
 		Dialer:  n.dialer,
 		Resolve: func(id fleet.NodeID) string { return n.linkAddr(string(id)) },
 		Self:    fleet.NodeID(n.set.NodeID),
+		Relay:   n.anyNode,
 	}
 	g.client = idempotency.NewClient(g.caller, n.groupOf)
 	return g
@@ -45,6 +47,7 @@
 		Node:        fleet.NodeID(n.set.NodeID),
 		Incarnation: incarnation,
 		Transport:   g.transport,
+		Forward:     g.caller.Direct,
 		NewLedger:   func(string) consensus.StateMachine { return ejection.New() },
 		Log:         prefixed(log, "groups"),
 	})
@@ -59,6 +62,22 @@
 	g.transport.Close()
 }
 
+// anyNode returns the link address of a random usable node other than this one
+// and the one given, or "".
+func (n *Node) anyNode(not fleet.NodeID) string {
+	nodes := n.board.View().Nodes
+	if len(nodes) == 0 {
+		return ""
+	}
+	offset := rand.IntN(len(nodes))
+	for i := range nodes {
+		if node := &nodes[(i+offset)%len(nodes)]; node.ID != not {
+			return node.LinkAddr
+		}
+	}
+	return ""
+}
+
 // linkAddr returns the link address of a live node, or "".
 func (n *Node) linkAddr(id string) string {
 	v := n.board.View()
