--- a/bench/idle.go
+++ b/bench/idle.go
@@ -58,6 +58,7 @@
 		if err := l.measure(w, bin, n); err != nil {
 			return err
 		}
+		w.Flush()
 	}
 	return w.Flush()
 }
--- a/cmd/godwithub-bench/main.go
+++ b/cmd/godwithub-bench/main.go
@@ -31,9 +31,11 @@
 	sizes.Description = "measure control messages and their traffic at the target size"
 	flaggy.AttachSubcommand(sizes, 1)
 	callers, routes := 0, 0
+	var counts []int
 	idle := flaggy.NewSubcommand("idle")
 	idle.Description = "measure nodes without requests, as processes; run it in the repository"
 	idle.Duration(&duration, "", "duration", "length of the observation of each size")
+	idle.IntSlice(&counts, "", "nodes", "number of nodes, repeatable (default: 5, 10, 20, 40)")
 	idle.Int(&callers, "", "callers", "callers in the configuration")
 	idle.Int(&routes, "", "routes", "routes in the configuration")
 	flaggy.AttachSubcommand(idle, 1)
@@ -47,7 +49,10 @@
 	case sizes.Used:
 		err = bench.Sizes{Out: os.Stdout}.Run()
 	case idle.Used:
-		err = bench.Idle{Sizes: []int{5, 10, 20, 40}, Duration: duration, Callers: callers, Routes: routes, Out: os.Stdout}.Run()
+		if len(counts) == 0 {
+			counts = []int{5, 10, 20, 40}
+		}
+		err = bench.Idle{Sizes: counts, Duration: duration, Callers: callers, Routes: routes, Out: os.Stdout}.Run()
 	default:
 		flaggy.ShowHelpAndExit("a subcommand is needed")
 	}
