--- a/bench/idle.go
+++ b/bench/idle.go
@@ -42,16 +42,11 @@
 
 // Run prints one row for each size.
 func (l Idle) Run() error {
-	bin, err := os.MkdirTemp("", "godwithub-bench-")
+	bin, err := buildPrograms("godwithub-node", "godwithub-control")
 	if err != nil {
-		return fmt.Errorf("bench: %w", err)
+		return err
 	}
 	defer os.RemoveAll(bin)
-	build := exec.Command("go", "build", "-o", bin, "./cmd/godwithub-node", "./cmd/godwithub-control")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return fmt.Errorf("bench: build: %w", err)
-	}
 	w := tabwriter.NewWriter(l.Out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "nodes\tstart-up ms\tnode RSS MB\tnode core %\tnode UDP B/s\tcontrol RSS MB\tcontrol core %")
 	for _, n := range l.Sizes {
@@ -237,8 +232,7 @@
 func (p *procs) stop() {
 	for _, c := range append(p.nodes, p.control) {
 		if c != nil {
-			c.Process.Kill()
-			c.Wait()
+			kill(c)
 		}
 	}
 }
--- a/cmd/godwithub-bench/main.go
+++ b/cmd/godwithub-bench/main.go
@@ -30,6 +30,11 @@
 	sizes := flaggy.NewSubcommand("sizes")
 	sizes.Description = "measure control messages and their traffic at the target size"
 	flaggy.AttachSubcommand(sizes, 1)
+	connections := 400
+	conns := flaggy.NewSubcommand("connections")
+	conns.Description = "measure the memory of a node with many upstream connections; run it in the repository"
+	conns.Int(&connections, "", "count", "connections in use at once")
+	flaggy.AttachSubcommand(conns, 1)
 	callers, routes := 0, 0
 	var counts []int
 	idle := flaggy.NewSubcommand("idle")
@@ -46,6 +51,8 @@
 		err = bench.Links{Rates: []int{200, 2000, 5000}, Duration: duration, QUICConns: []int{1, 2, 8}, Out: os.Stdout}.Run()
 	case latency.Used:
 		err = bench.Latency{Rates: []int{200, 2000}, Duration: duration, Repeats: repeats, Out: os.Stdout}.Run()
+	case conns.Used:
+		err = bench.Connections{Count: connections, Out: os.Stdout}.Run()
 	case sizes.Used:
 		err = bench.Sizes{Out: os.Stdout}.Run()
 	case idle.Used:
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -146,12 +146,18 @@
 	announceUpstream(t, b, "u1", ln.Addr().String(), false)
 	waitForUpstreams(t, a, 1)
 
-	for _, c := range []struct{ method, path, body, want string }{
-		{"GET", "/list", "", "GET /list "},
-		{"POST", "/orders", "lotus", "POST /orders lotus"},
+	http2 := new(http.Protocols)
+	http2.SetUnencryptedHTTP2(true)
+	for _, c := range []struct {
+		client                   *http.Client
+		method, path, body, want string
+	}{
+		{http.DefaultClient, "GET", "/list", "", "GET /list "},
+		{http.DefaultClient, "POST", "/orders", "lotus", "POST /orders lotus"},
+		{&http.Client{Transport: &http.Transport{Protocols: http2}}, "POST", "/orders", "reed", "POST /orders reed"},
 	} {
 		req, _ := http.NewRequest(c.method, "http://"+a.set.CallerAddr+c.path, strings.NewReader(c.body))
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := c.client.Do(req)
 		assert.NilError(t, err)
 		got, err := io.ReadAll(resp.Body)
 		assert.NilError(t, err)
