Build counters' maps in one place

Cause: read-through: ingress and dispatcher built their expvar maps by the same loop. Change: package metrics holds it. Measured: nothing changes at run time. Conclusion: tests of both packages pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/metrics"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -173,17 +174,14 @@
 
 // Metrics returns the dispatcher's counters for expvar.
 func (d *Dispatcher) Metrics() *expvar.Map {
-	m := new(expvar.Map).Init()
-	for name, v := range map[string]*expvar.Int{
+	m := metrics.Counters(map[string]*expvar.Int{
 		"attempts":   &d.stats.attempts,
 		"duplicates": &d.stats.duplicates,
 		"relayed":    &d.stats.relayed,
 		"answered":   &d.stats.answered,
 		"not_run":    &d.stats.notRun,
 		"unknown":    &d.stats.unknown,
-	} {
-		m.Set(name, v)
-	}
+	})
 	m.Set("upstreams", expvar.Func(func() any { return d.describe() }))
 	return m
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/metrics"
 	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -175,8 +176,7 @@
 
 // Metrics returns the ingress's counters for expvar.
 func (in *Ingress) Metrics() *expvar.Map {
-	m := new(expvar.Map).Init()
-	for name, v := range map[string]*expvar.Int{
+	return metrics.Counters(map[string]*expvar.Int{
 		"requests":   &in.stats.requests,
 		"attempts":   &in.stats.attempts,
 		"retries":    &in.stats.retries,
@@ -186,10 +186,7 @@
 		"not_run":    &in.stats.notRun,
 		"unknown":    &in.stats.unknown,
 		"shed_early": &in.stats.shedEarly,
-	} {
-		m.Set(name, v)
-	}
-	return m
+	})
 }
 
 var _ http.Handler = (*Ingress)(nil)
