Bind attempts and claims to the lifetime of their dispatcher

Cause: a dispatcher that died without a reset and came back within the silence timeout got the same attempt again over a fresh connection. The new process remembers nothing, so it took the attempt for a first send and ran it again, was granted the claim that the attempt already held, or said "not run" because its upstream had not announced itself yet.

Change: acknowledgements carry the lifetime of the dispatcher's process. An attempt that was acknowledged names it from then on; another lifetime answers "unknown, lost dispatcher" and runs nothing. A claim is made under attempt and lifetime. A request that was sent whole without an acknowledgement is "not run" only if the same lifetime answers in the end.

Ruled out: the incarnation of membership as lifetime (it also grows when a suspicion is refuted); refusing every resend (a silent connection would then cost each request in flight).

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -39,13 +40,20 @@
 	return idempotency.Key{Service: head.Service, Kind: head.Kind, Caller: head.Caller, Value: head.Key}
 }
 
+// ClaimID returns the id under which a dispatcher of the given lifetime claims
+// for an attempt. The claim of a process that has ended is not granted again to
+// its successor, which does not know whether the attempt has run.
+func ClaimID(attempt string, lifetime uint64) idempotency.AttemptID {
+	return idempotency.AttemptID(attempt + "@" + strconv.FormatUint(lifetime, 36))
+}
+
 // beginClaim asks for the claim while the rest of the request is on its way.
 // It returns nil if the request needs no claim.
 func (d *Dispatcher) beginClaim(a *attempt, head *wire.AttemptHead) *claim {
 	if head.Idempotent || head.Key == "" {
 		return nil
 	}
-	c := &claim{d: d, key: KeyOf(head), attempt: idempotency.AttemptID(head.AttemptID), result: make(chan claimAnswer, 1)}
+	c := &claim{d: d, key: KeyOf(head), attempt: ClaimID(head.AttemptID, d.lifetime), result: make(chan claimAnswer, 1)}
 	if d.cfg.Claims == nil {
 		c.result <- claimAnswer{err: idempotency.ErrNoGroup}
 		return c
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -78,6 +79,8 @@
 	cfg      Config
 	log      *slog.Logger
 	attempts *registry
+	// lifetime identifies this process in acknowledgements; see wire.Ack.
+	lifetime uint64
 
 	mu        sync.RWMutex
 	upstreams map[fleet.UpstreamID]*upstream
@@ -90,7 +93,7 @@
 }
 
 type stats struct {
-	attempts, duplicates, relayed, answered, notRun, unknown expvar.Int
+	attempts, duplicates, foreign, relayed, answered, notRun, unknown expvar.Int
 }
 
 // New returns a dispatcher without upstreams.
@@ -99,6 +102,7 @@
 		cfg:       cfg,
 		log:       cfg.Log,
 		attempts:  newRegistry(),
+		lifetime:  rand.Uint64() | 1,
 		upstreams: map[fleet.UpstreamID]*upstream{},
 	}
 }
@@ -177,6 +181,7 @@
 	m := metrics.Counters(map[string]*expvar.Int{
 		"attempts":   &d.stats.attempts,
 		"duplicates": &d.stats.duplicates,
+		"foreign":    &d.stats.foreign, // first sent to an earlier process of this VM
 		"relayed":    &d.stats.relayed,
 		"answered":   &d.stats.answered,
 		"not_run":    &d.stats.notRun,
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -24,11 +24,15 @@
 		return
 	}
 	deadline := time.Now().Add(head.Remaining())
-	if err := s.WriteFrame(wire.FrameAck, nil); err != nil {
+	if err := wire.Write(s, wire.FrameAck, wire.Ack{Lifetime: d.lifetime}); err != nil {
 		s.Reset()
 		return
 	}
 	d.stats.attempts.Add(1)
+	if head.Lifetime != 0 && head.Lifetime != d.lifetime {
+		d.refuseForeign(s, head, deadline)
+		return
+	}
 	a, isNew := d.attempts.attach(head.AttemptID, deadline, func(a *attempt) { a.claim = d.beginClaim(a, head) })
 	if !isNew {
 		d.stats.duplicates.Add(1)
@@ -53,6 +57,19 @@
 	w.finish(end)
 }
 
+// refuseForeign answers an attempt that an earlier process of this VM has
+// acknowledged. What that process did with it is not known here.
+func (d *Dispatcher) refuseForeign(s link.Stream, head *wire.AttemptHead, deadline time.Time) {
+	d.stats.foreign.Add(1)
+	if _, err := readBody(s, head, deadline); err != nil {
+		s.Reset()
+		return
+	}
+	d.log.Info("attempt was sent to an earlier process", "request", head.RequestID, "attempt", head.AttemptID)
+	w := newAnswerWriter(s, nil, head)
+	w.finish(wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonLostDispatcher})
+}
+
 func decodeHead(payload []byte, head *wire.AttemptHead) error {
 	if err := wire.Decode(payload, head); err != nil {
 		return err
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -53,7 +53,10 @@
 	mayRun bool
 	// acked is set once the dispatcher has shown that it has the attempt.
 	acked bool
-	out   *answer
+	// exposed is the lifetime of the dispatcher that was last known when a
+	// request was sent whole without an acknowledgement coming back.
+	exposed *uint64
+	out     *answer
 	// stale holds the streams of failed routes. They stay open until the
 	// attempt has ended: a dispatcher that saw one break might cancel an
 	// attempt that comes again over another route.
@@ -115,7 +118,11 @@
 func (a *attempt) ended(ctx context.Context, end *wire.AnswerEnd) outcome.Ended {
 	e := outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}
 	if e == outcome.HasNotRun(outcome.ReasonCanceled) && ctx.Err() == nil {
-		return outcome.HasNotRun(outcome.ReasonPathDown)
+		e = outcome.HasNotRun(outcome.ReasonPathDown)
+	}
+	if e.Outcome == outcome.NotRun && a.exposed != nil && *a.exposed != a.head.Lifetime {
+		// An earlier process may have run what it did not acknowledge.
+		return outcome.MayHaveRun(outcome.ReasonLostDispatcher)
 	}
 	return e
 }
@@ -216,10 +223,18 @@
 		timeout = maxAckTimeout + dialTimeout
 	}
 	s.SetReadDeadline(sent.Add(timeout))
-	if err := wire.Read(s, wire.FrameAck, nil); err != nil {
+	var ack wire.Ack
+	if err := wire.Read(s, wire.FrameAck, &ack); err != nil {
+		if a.mayRun && !a.acked && a.exposed == nil {
+			known := a.in.paths.lifetime(a.u.Node)
+			a.exposed = &known
+		}
 		return nil, silentIfTimeout(err)
 	}
-	a.acked = true
+	if !a.acked {
+		a.acked, a.head.Lifetime = true, ack.Lifetime
+	}
+	a.in.paths.met(a.u.Node, ack.Lifetime)
 	if r != routeRelay {
 		a.in.paths.acked(a.u.Node, time.Since(sent))
 	}
--- a/ingress/fence.go
+++ b/ingress/fence.go
@@ -23,7 +23,7 @@
 	if !lost || s.rq.key == "" || s.rq.kind.Idempotent || s.in.cfg.Claims == nil || s.out.begun {
 		return e
 	}
-	key, id := dispatch.KeyOf(a.head), idempotency.AttemptID(a.head.AttemptID)
+	key, id := dispatch.KeyOf(a.head), dispatch.ClaimID(a.head.AttemptID, a.head.Lifetime)
 	tick := time.NewTicker(fencePoll)
 	defer tick.Stop()
 	for {
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -147,6 +147,8 @@
 	rtt time.Duration
 	// troubled says that the path failed and no test of it has succeeded since.
 	troubled bool
+	// lifetime is that of the dispatcher that acknowledged last.
+	lifetime uint64
 }
 
 func newPathTable() *pathTable { return &pathTable{paths: map[fleet.NodeID]*path{}} }
@@ -171,6 +173,23 @@
 	return min(maxAckTimeout, max(minAckTimeout, ackTimeoutRTTs*p.rtt))
 }
 
+// met records the lifetime of the dispatcher at a node.
+func (t *pathTable) met(node fleet.NodeID, lifetime uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.path(node).lifetime = lifetime
+}
+
+// lifetime returns that of the dispatcher that acknowledged last, or 0.
+func (t *pathTable) lifetime(node fleet.NodeID) uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if p := t.paths[node]; p != nil {
+		return p.lifetime
+	}
+	return 0
+}
+
 // acked records the time to an acknowledgement.
 func (t *pathTable) acked(node fleet.NodeID, rtt time.Duration) {
 	t.mu.Lock()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -21,7 +21,7 @@
 	FrameAttempt   link.FrameType = 1 // AttemptHead
 	FrameData      link.FrameType = 2 // bytes of a body, in either direction
 	FrameEnd       link.FrameType = 3 // end of the request body; empty
-	FrameAck       link.FrameType = 4 // dispatcher has the attempt; repeated while it goes on; empty
+	FrameAck       link.FrameType = 4 // Ack: dispatcher has the attempt; repeated without content while it goes on
 	FrameAnswer    link.FrameType = 5 // AnswerHead
 	FrameAnswerEnd link.FrameType = 6 // AnswerEnd
 	FrameRelay     link.FrameType = 7 // RelayHead; then an attempt to pass on
@@ -81,6 +81,18 @@
 	Fingerprint uint64 `cbor:"15,keyasint,omitempty"`
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool `cbor:"16,keyasint,omitempty"`
+	// Lifetime is that of the dispatcher which has acknowledged the attempt, or
+	// 0 if none has. A dispatcher of another lifetime knows nothing of what its
+	// predecessor did with the attempt, so it neither runs it nor calls it "not
+	// run".
+	Lifetime uint64 `cbor:"17,keyasint,omitempty"`
+}
+
+// Ack acknowledges an attempt.
+type Ack struct {
+	// Lifetime identifies the process of the dispatcher among those that have
+	// run on its VM.
+	Lifetime uint64 `cbor:"1,keyasint"`
 }
 
 // Remaining returns the time left to the deadline.
