Let links run on plain TCP where no keys are handed out

Cause: the users' platform gives a process its settings and no keys, and both daemons require a key ring. keys.Plain is a ring without keys: links use plain TCP and a peer is named by its IP address.

--- a/keys/keys.go
+++ b/keys/keys.go
@@ -140,8 +140,16 @@
 
 	cert tls.Certificate
 	pool *x509.CertPool
+	// plain says that there are no keys; see Plain.
+	plain bool
 }
 
+// Plain returns the ring of a process on a platform that hands out no keys.
+// Its links are not encrypted, membership datagrams are sealed with a key that
+// is known to all, and processes are known by their IP addresses. The network
+// has to keep others out.
+func Plain(ip string) *Ring { return &Ring{Name: ip, plain: true} }
+
 // Load reads the keys of a process from dir.
 func Load(dir string) (*Ring, error) {
 	cert, err := tls.LoadX509KeyPair(filepath.Join(dir, processCert), filepath.Join(dir, processKey))
@@ -169,6 +177,9 @@
 // Server returns the TLS settings of a listener on the link. It accepts any
 // process of the fleet.
 func (r *Ring) Server() *tls.Config {
+	if r.plain {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{r.cert},
@@ -180,6 +191,9 @@
 // Client returns the TLS settings of a dialer that expects a process of the
 // given role at the other side.
 func (r *Ring) Client(role Role) *tls.Config {
+	if r.plain {
+		return nil
+	}
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
 		Certificates:       []tls.Certificate{r.cert},
@@ -196,6 +210,9 @@
 // API returns the TLS settings of the resource API, whose callers prove
 // themselves by token instead of by certificate.
 func (r *Ring) API() *tls.Config {
+	if r.plain {
+		return nil
+	}
 	return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{r.cert}}
 }
 
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -1,5 +1,8 @@
 // Package tlslink implements link over TLS on TCP. A connection carries one
 // exchange at a time and is kept for the next one.
+//
+// Without TLS settings it runs on plain TCP, for platforms that hand out no
+// keys. The name of a peer is then its IP address.
 package tlslink
 
 import (
@@ -37,7 +40,8 @@
 
 // Dialer opens streams over pooled TLS connections.
 type Dialer struct {
-	dialer tls.Dialer
+	// connect makes a new connection, with its handshake.
+	connect func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -70,34 +74,43 @@
 	err  error
 }
 
-// conn is a TLS connection with its read buffer.
+// conn is a connection with its read buffer.
 type conn struct {
-	*tls.Conn
+	net.Conn
 	reader     *link.FrameReader
 	buffered   *bufio.Reader
 	generation int
 }
 
-func newConn(c *tls.Conn, generation int) *conn {
+func newConn(c net.Conn, generation int) *conn {
 	br := bufio.NewReaderSize(c, readBuffer)
 	return &conn{c, link.NewFrameReader(br), br, generation}
 }
 
 // abort closes the TCP connection without the closing alert of TLS, whose write
 // could block on a connection gone silent.
-func (c *conn) abort() { c.NetConn().Close() }
+func (c *conn) abort() {
+	if tc, ok := c.Conn.(*tls.Conn); ok {
+		tc.NetConn().Close()
+		return
+	}
+	c.Conn.Close()
+}
 
 // NewDialer returns a dialer that connects from localIP, or from any address
-// if localIP is empty.
+// if localIP is empty. Without c it uses plain TCP.
 func NewDialer(localIP string, c *tls.Config) *Dialer {
 	nd := &net.Dialer{}
 	if localIP != "" {
 		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(localIP)}
 	}
 	d := &Dialer{
-		dialer: tls.Dialer{NetDialer: nd, Config: c},
-		peers:  map[string]*peer{},
-		stop:   make(chan struct{}),
+		connect: nd.DialContext,
+		peers:   map[string]*peer{},
+		stop:    make(chan struct{}),
+	}
+	if c != nil {
+		d.connect = (&tls.Dialer{NetDialer: nd, Config: c}).DialContext
 	}
 	go d.closeIdle()
 	return d
@@ -161,13 +174,13 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 			defer cancel()
-			nc, err := d.dialer.DialContext(ctx, "tcp", addr)
+			nc, err := d.connect(ctx, "tcp", addr)
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			p.dialing--
 			if err != nil {
 				p.hand(dialed{err: err})
-			} else if c := newConn(nc.(*tls.Conn), generation); !p.hand(dialed{conn: c}) {
+			} else if c := newConn(nc, generation); !p.hand(dialed{conn: c}) {
 				d.keep(p, c)
 			}
 			d.dial(addr, p)
@@ -300,7 +313,8 @@
 	conns map[net.Conn]struct{}
 }
 
-// Listen accepts TLS connections on addr, an IP and TCP port.
+// Listen accepts TLS connections on addr, an IP and TCP port. Without c it
+// accepts plain TCP.
 func Listen(addr string, c *tls.Config) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -321,7 +335,7 @@
 		l.track(nc, true)
 		go func() {
 			defer l.track(nc, false)
-			l.serve(tls.Server(nc, c))
+			l.serve(nc, c)
 		}()
 	}
 }
@@ -337,21 +351,23 @@
 }
 
 // serve passes each exchange on c to Accept, one after the other.
-func (l *Listener) serve(tc *tls.Conn) {
-	defer tc.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-	err := tc.HandshakeContext(ctx)
-	cancel()
-	if err != nil {
-		return
+func (l *Listener) serve(nc net.Conn, config *tls.Config) {
+	defer nc.Close()
+	if config != nil {
+		tc := tls.Server(nc, config)
+		if handshake(tc) != nil {
+			return
+		}
+		defer tc.Close()
+		nc = tc
 	}
-	c := newConn(tc, 0)
+	c := newConn(nc, 0)
 	for {
-		tc.SetReadDeadline(time.Now().Add(listenerIdleTimeout))
+		c.SetReadDeadline(time.Now().Add(listenerIdleTimeout))
 		if _, err := c.buffered.Peek(1); err != nil {
 			return
 		}
-		tc.SetReadDeadline(time.Time{})
+		c.SetReadDeadline(time.Time{})
 		ended := make(chan bool, 1)
 		s := &stream{conn: c, done: func() { ended <- true }, broken: func() { ended <- false }}
 		if !l.queue.Put(s) || !<-ended {
@@ -360,6 +376,12 @@
 	}
 }
 
+func handshake(tc *tls.Conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	return tc.HandshakeContext(ctx)
+}
+
 // Accept implements link.Listener.
 func (l *Listener) Accept(ctx context.Context) (link.Stream, error) { return l.queue.Accept(ctx) }
 
@@ -423,7 +445,12 @@
 }
 
 func (s *stream) PeerName() string {
-	certs := s.conn.ConnectionState().PeerCertificates
+	tc, ok := s.conn.Conn.(*tls.Conn)
+	if !ok {
+		host, _, _ := net.SplitHostPort(s.conn.RemoteAddr().String())
+		return host
+	}
+	certs := tc.ConnectionState().PeerCertificates
 	if len(certs) == 0 {
 		return ""
 	}
