Write whole configurations over the version that they build on

Cause: the users' operators write the whole configuration at once, count its versions themselves and send the same one again until it is acknowledged. The resource API writes single resources over their revisions.

Change: control.Replace takes a document with its base. The proposer reads the barrier, computes what differs and replicates only that; the state machine checks base, version and the revision that the difference was computed from. Routes gain weights (split) and a policy (idempotent, rank, deadline, latency objective, attempts); services gain their health path and connections; limits for callers are a resource of their own.

Ruled out: the document as one opaque resource. A change of one route among 400 would then carry about 100 KB to each member and node, and the link between regions is priced by volume.

--- a/control/command.go
+++ b/control/command.go
@@ -19,6 +19,7 @@
 	OpRemoveMember Op = 3 // forgets a member of the control group
 	OpRaiseEpoch   Op = 4 // moves the configuration to a higher epoch
 	OpRestore      Op = 5 // replaces the configuration by that of a snapshot
+	OpReplace      Op = 6 // puts a whole document in force, over the version it builds on
 )
 
 // Limits of commands.
@@ -62,6 +63,8 @@
 	Epoch  uint64  `cbor:"6,keyasint,omitempty"`
 	// Snapshot is the content to restore.
 	Snapshot []byte `cbor:"7,keyasint,omitempty"`
+	// Replace is set for OpReplace.
+	Replace *ReplaceHead `cbor:"8,keyasint,omitempty"`
 }
 
 // Code says how a command ended.
@@ -74,6 +77,7 @@
 	CodeInvalid        Code = "invalid"          // faults in fields or references
 	CodeMalformed      Code = "malformed"        // the command cannot be decoded
 	CodeChangeIDReused Code = "change-id-reused" // the change id belongs to another change
+	CodeStale          Code = "stale"            // the writes were computed against an earlier configuration
 )
 
 // Conflict is one write whose named revision is not the current one.
@@ -152,6 +156,9 @@
 
 // digest identifies what c changes, without the time at which it was sent.
 func (c *Command) digest() ([sha256.Size]byte, error) {
+	if c.Op == OpReplace {
+		return replaceDigest(c.ChangeID), nil
+	}
 	content := *c
 	content.At = 0
 	b, err := encoding.Marshal(&content)
--- a/control/machine.go
+++ b/control/machine.go
@@ -46,6 +46,8 @@
 	changes *changes
 	members []Member // ordered by id
 	retired *retired
+	// written is the writer's version of the document in force; see Document.
+	written uint64
 }
 
 // NewMachine returns an empty configuration at epoch 1, revision 0.
@@ -92,7 +94,12 @@
 	}
 	// Refusals are remembered as well: a resend must not carry out what the
 	// operator has been told is refused.
-	result := m.encode(m.run(c))
+	ran := m.run(c)
+	result := m.encode(ran)
+	if ran.Code == CodeStale {
+		// The proposer computes the writes anew under the same id.
+		return result
+	}
 	m.changes.add(&change{ID: c.ChangeID, Digest: digest, At: c.At, Result: result})
 	return slices.Clone(result)
 }
@@ -123,6 +130,8 @@
 		return m.raiseEpoch(c.Epoch)
 	case OpRestore:
 		return m.restoreCommand(c.Snapshot)
+	case OpReplace:
+		return m.replace(c)
 	}
 	return &Result{Code: CodeMalformed, Message: fmt.Sprintf("unknown operation %d", c.Op)}
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -18,6 +18,7 @@
 	Changes []*change        `cbor:"4,keyasint,omitempty"`
 	Members []Member         `cbor:"5,keyasint,omitempty"`
 	Retired []retiredService `cbor:"6,keyasint,omitempty"`
+	Written uint64           `cbor:"7,keyasint,omitempty"`
 }
 
 // Snapshot implements StateMachine.
@@ -33,7 +34,7 @@
 	}
 	b, err := encoding.Marshal(&snapshot{
 		Format: snapshotFormat, Set: delta, Now: m.changes.now, Changes: m.changes.queue,
-		Members: m.members, Retired: m.retired.queue,
+		Members: m.members, Retired: m.retired.queue, Written: m.written,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("control: encode snapshot: %w", err)
@@ -105,6 +106,7 @@
 		changes: newChanges(s.Now, s.Changes),
 		members: s.Members,
 		retired: newRetired(s.Retired),
+		written: s.Written,
 	}, nil
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -83,11 +84,18 @@
 
 func (rq *request) match(c *resource.Config) error {
 	r := rq.http
-	rq.service = c.Route(r.Host, r.URL.Path)
-	if rq.service == nil {
+	route := c.Route(r.Host, r.URL.Path)
+	if route == nil {
 		return refuse(outcome.ReasonNoRoute, "no route for host %q and path %q", r.Host, r.URL.Path)
 	}
-	rq.kind = c.Kind(rq.service.Name, r.Method, r.URL.Path)
+	rq.service = c.Services[route.Choose(rand.Float64())]
+	if rq.service == nil {
+		return refuse(outcome.ReasonNoRoute, "the service of route %s does not exist", route.Name)
+	}
+	rq.kind = c.PolicyKind(route)
+	if rq.kind == nil {
+		rq.kind = c.Kind(rq.service.Name, r.Method, r.URL.Path)
+	}
 	if rq.kind == nil {
 		return refuse(outcome.ReasonNoKind, "service %s has no request kind for %s %q", rq.service.Name, r.Method, r.URL.Path)
 	}
--- a/resource/config.go
+++ b/resource/config.go
@@ -14,6 +14,8 @@
 	Ranks    map[string]*Rank
 	Callers  map[string]*Caller
 	Groups   map[string]*Group
+	// Limits is nil if the configuration has none.
+	Limits *Limits
 
 	// routes holds the routes of each host, the longest path prefix first.
 	routes map[string][]*Route
@@ -59,9 +61,15 @@
 		c.Callers[name] = o
 	case *Group:
 		c.Groups[name] = o
+	case *Limits:
+		c.Limits = o
 	case *Route:
 		host := strings.ToLower(o.Host)
 		c.routes[host] = append(c.routes[host], o)
+		if o.Policy != nil {
+			kind := o.kind()
+			c.Kinds[kind.Name] = kind
+		}
 	}
 }
 
@@ -92,19 +100,22 @@
 	return cmp.Compare(a.Name, b.Name)
 }
 
-// Route returns the service for host and path, or nil. host may carry a port.
-func (c *Config) Route(host, path string) *Service {
+// Route returns the route for host and path, or nil. host may carry a port.
+func (c *Config) Route(host, path string) *Route {
 	host = strings.ToLower(stripPort(host))
 	for _, h := range [...]string{host, "*"} {
 		for _, r := range c.routes[h] {
 			if hasPathPrefix(path, r.PathPrefix) {
-				return c.Services[r.Service]
+				return r
 			}
 		}
 	}
 	return nil
 }
 
+// PolicyKind returns the request kind that a route brings, or nil.
+func (c *Config) PolicyKind(r *Route) *RequestKind { return c.Kinds[policyKindPrefix+r.Name] }
+
 // Kind returns the request kind of service for method and path, or nil.
 func (c *Config) Kind(service, method, path string) *RequestKind {
 	for _, k := range c.kinds[service] {
--- a/resource/object.go
+++ b/resource/object.go
@@ -18,11 +18,12 @@
 	TypeRoute   Type = "routes"
 	TypeCaller  Type = "callers"
 	TypeGroup   Type = "groups"
+	TypeLimits  Type = "limits"
 )
 
 // Types lists all types in the order in which they can be created without
 // dangling references.
-var Types = []Type{TypeGroup, TypeRank, TypeService, TypeKind, TypeRoute, TypeCaller}
+var Types = []Type{TypeGroup, TypeRank, TypeService, TypeKind, TypeRoute, TypeCaller, TypeLimits}
 
 // Key identifies a resource.
 type Key struct {
@@ -90,6 +91,16 @@
 	// and it never changes, since claims do not move between groups. Empty:
 	// requests that need a claim are refused.
 	Group string `json:"group,omitempty" validate:"omitempty,resourcename"`
+	// HealthPath is the path of the upstreams' health endpoint. Empty: none is
+	// known.
+	HealthPath string `json:"healthPath,omitempty" validate:"omitempty,startswith=/"`
+	// MaxConnections is how many connections each upstream accepts. 0: what it
+	// announces.
+	MaxConnections int `json:"maxConnections,omitempty" validate:"min=0,max=100000"`
+	// Protocol and TLS are what the upstreams speak, as the writer of the
+	// configuration names it. Nodes use HTTP/1.1 without TLS.
+	Protocol string `json:"protocol,omitempty" validate:"max=32"`
+	TLS      bool   `json:"tls,omitempty"`
 }
 
 // Type implements Object.
@@ -122,6 +133,9 @@
 	// AnswerBytes is the usual size of an answer, in bytes. It decides how much
 	// work may cross between regions. 0: not known.
 	AnswerBytes int64 `json:"answerBytes,omitempty" validate:"min=0"`
+	// MaxAttempts is the number of upstreams that may run one request. 0: the
+	// default of package retry.
+	MaxAttempts int `json:"maxAttempts,omitempty" validate:"min=0,max=16"`
 }
 
 // Type implements Object.
@@ -130,6 +144,10 @@
 // Clone implements Object.
 func (k *RequestKind) Clone() Object { c := *k; return &c }
 
+// DefaultRankShare is the share of ranks whose writer knows no shares. It keeps
+// the least urgent work going without taking much from the rest.
+const DefaultRankShare = 0.1
+
 // Rank is a class of urgency.
 type Rank struct {
 	Meta
@@ -146,21 +164,109 @@
 // Clone implements Object.
 func (r *Rank) Clone() Object { c := *r; return &c }
 
-// Route maps a host and path prefix to a service.
+// Route maps a host and path prefix to a service, or to several by weight.
 type Route struct {
 	Meta
+	// Label is the writer's own name of the route.
+	Label string `json:"label,omitempty" validate:"max=253"`
 	// Host is matched without port, in lower case; "*" matches any.
 	Host string `json:"host" validate:"required,max=253"`
 	// PathPrefix starts with "/". The longest prefix wins.
 	PathPrefix string `json:"pathPrefix" validate:"required,startswith=/"`
-	Service    string `json:"service" validate:"required,resourcename"`
+	// Service is where requests go, unless Split is set.
+	Service string `json:"service,omitempty" validate:"required_without=Split,excluded_with=Split,omitempty,resourcename"`
+	// Split spreads requests over services by weight.
+	Split []WeightedService `json:"split,omitempty" validate:"omitempty,max=64,positivesum,dive"`
+	// Policy is the kind of all requests of the route, whatever their method
+	// and path. Nil: the kinds of the service apply.
+	Policy *RoutePolicy `json:"policy,omitempty"`
+}
+
+// WeightedService is one part of a split route.
+type WeightedService struct {
+	Service string `json:"service" validate:"required,resourcename"`
+	// Weight is the part of the requests, relative to the sum of all weights.
+	Weight int `json:"weight" validate:"min=0,max=1000000"`
+}
+
+// RoutePolicy is the request kind of a route; see RequestKind.
+type RoutePolicy struct {
+	Idempotent         bool   `json:"idempotent"`
+	Rank               string `json:"rank" validate:"required,resourcename"`
+	DeadlineMs         int64  `json:"deadlineMs" validate:"min=1,max=600000"`
+	LatencyObjectiveMs int64  `json:"latencyObjectiveMs" validate:"min=0,max=600000"`
+	MaxAttempts        int    `json:"maxAttempts,omitempty" validate:"min=0,max=16"`
 }
 
 // Type implements Object.
 func (*Route) Type() Type { return TypeRoute }
 
 // Clone implements Object.
-func (r *Route) Clone() Object { c := *r; return &c }
+func (r *Route) Clone() Object {
+	c := *r
+	c.Split = slices.Clone(r.Split)
+	if r.Policy != nil {
+		policy := *r.Policy
+		c.Policy = &policy
+	}
+	return &c
+}
+
+// Choose returns the service of a request. point is uniform in [0, 1).
+func (r *Route) Choose(point float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	left := point * float64(total)
+	last := ""
+	for _, w := range r.Split {
+		if w.Weight <= 0 {
+			continue
+		}
+		last = w.Service
+		if left -= float64(w.Weight); left < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// kind returns the request kind of the route's policy.
+func (r *Route) kind() *RequestKind {
+	p := r.Policy
+	return &RequestKind{
+		Meta: Meta{Name: policyKindPrefix + r.Name}, Method: "*", Path: r.PathPrefix + "*",
+		Idempotent: p.Idempotent, Rank: p.Rank, DeadlineMs: p.DeadlineMs,
+		LatencyObjectiveMs: p.LatencyObjectiveMs, MaxAttempts: p.MaxAttempts,
+	}
+}
+
+// policyKindPrefix starts the names of kinds that routes bring. Names of other
+// kinds have no slash.
+const policyKindPrefix = "route/"
+
+// Limits bound what callers may send, and how long they may take. There is one
+// object of the type, called LimitsName.
+type Limits struct {
+	Meta
+	MaxHeaderBytes  int64 `json:"maxHeaderBytes" validate:"min=0"`
+	MaxBodyBytes    int64 `json:"maxBodyBytes" validate:"min=0"`
+	HeaderTimeoutMs int64 `json:"headerTimeoutMs" validate:"min=0"`
+	IdleTimeoutMs   int64 `json:"idleTimeoutMs" validate:"min=0"`
+}
+
+// LimitsName is the name of the Limits object.
+const LimitsName = "callers"
+
+// Type implements Object.
+func (*Limits) Type() Type { return TypeLimits }
+
+// Clone implements Object.
+func (l *Limits) Clone() Object { c := *l; return &c }
 
 // Caller is a known sender of requests, named in the Godwithub-Caller header.
 type Caller struct {
@@ -235,6 +341,8 @@
 		return &Caller{}
 	case TypeGroup:
 		return &Group{}
+	case TypeLimits:
+		return &Limits{}
 	}
 	return nil
 }
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -88,8 +88,8 @@
 		s.Put(o)
 	}
 	c := Compile(s)
-	assert.Equal(t, c.Route("example.com:80", "/pay/1").Name, "pay")
-	assert.Equal(t, c.Route("example.com", "/payments").Name, "shop")
+	assert.Equal(t, c.Route("example.com:80", "/pay/1").Service, "pay")
+	assert.Equal(t, c.Route("example.com", "/payments").Service, "shop")
 	assert.Equal(t, c.Kind("shop", "POST", "/orders").Name, "order")
 	assert.Equal(t, c.Kind("shop", "GET", "/orders").Name, "browse")
 	assert.Assert(t, c.Kind("pay", "GET", "/") == nil)
--- a/resource/validate.go
+++ b/resource/validate.go
@@ -41,9 +41,20 @@
 	must(v.RegisterValidation("pathpattern", func(f validator.FieldLevel) bool {
 		return validPathPattern(f.Field().String())
 	}))
+	must(v.RegisterValidation("positivesum", func(f validator.FieldLevel) bool {
+		return positiveSum(f.Field().Interface().([]WeightedService))
+	}))
 	return v
 }
 
+func positiveSum(split []WeightedService) bool {
+	sum := 0
+	for _, w := range split {
+		sum += w.Weight
+	}
+	return sum > 0
+}
+
 func validPathPattern(s string) bool {
 	if !strings.HasPrefix(s, "/") || len(s) > 1024 {
 		return false
@@ -76,6 +87,8 @@
 	switch f.Tag() {
 	case "required":
 		return "is required"
+	case "positivesum":
+		return "the weights add up to nothing"
 	case "resourcename":
 		return fmt.Sprintf("%q is not 1 to 63 lower-case letters, digits and inner dashes", f.Value())
 	case "httpmethod":
@@ -101,7 +114,21 @@
 	case *RequestKind:
 		return []Key{{TypeService, o.Service}, {TypeRank, o.Rank}}
 	case *Route:
-		return []Key{{TypeService, o.Service}}
+		return o.references()
 	}
 	return nil
 }
+
+func (r *Route) references() []Key {
+	var keys []Key
+	if r.Service != "" {
+		keys = append(keys, Key{TypeService, r.Service})
+	}
+	for _, w := range r.Split {
+		keys = append(keys, Key{TypeService, w.Service})
+	}
+	if r.Policy != nil {
+		keys = append(keys, Key{TypeRank, r.Policy.Rank})
+	}
+	return keys
+}
