Let platforms name the headers of callers and upstreams

Cause: the users' platform has its own headers for ids, deadlines, refusals and the identity of upstreams; the product's names were constants. Protocols of ingress and dispatch hold names only, with the product's own as defaults. An upstream can be told which process is meant, and an answer without the id of its request is taken for none where all upstreams send it back. The id is checked before a refusal is believed: a late answer to an earlier request must not make this one 'not run'.

Retries that came to no upstream take nothing from the budget, and the number of runs has a bound of its own, which a kind can state.

Tests: TestFreeAttempts, TestDecide.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,9 @@
 	Gone func(fleet.UpstreamID)
 	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
 	Crashes Crashes
+	// Upstreams is how upstreams are spoken to. Without a Refusal it is
+	// OwnProtocol.
+	Upstreams Protocol
 }
 
 // Crashes keeps account of requests that were in flight when upstreams crashed.
@@ -98,6 +101,9 @@
 
 // New returns a dispatcher without upstreams.
 func New(cfg Config) *Dispatcher {
+	if cfg.Upstreams.Refusal == nil {
+		cfg.Upstreams = OwnProtocol()
+	}
 	return &Dispatcher{
 		cfg:       cfg,
 		log:       cfg.Log,
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -21,15 +21,6 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-// Headers between the dispatcher and upstreams.
-const (
-	HeaderRequestID  = "Godwithub-Request-Id"
-	HeaderDeadlineMs = "Godwithub-Deadline-Ms" // milliseconds left to the deadline
-	// HeaderNotRun in an upstream's answer says that it refused the request
-	// before running it, and why.
-	HeaderNotRun = "Godwithub-Not-Run"
-)
-
 // copyBuffer is the size of a buffer for answer bodies, in bytes.
 const copyBuffer = 32 << 10
 
@@ -143,7 +134,7 @@
 		ctx, cancel = context.WithDeadline(context.Background(), deadline)
 		defer cancel()
 	}
-	req, sent := newRequest(ctx, u, head, body)
+	req, sent := d.newRequest(ctx, u, head, body)
 	resp, err := u.client.RoundTrip(req)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -152,13 +143,17 @@
 		return classify(ctx, err, sent.Load())
 	}
 	defer resp.Body.Close()
-	if reason := resp.Header.Get(HeaderNotRun); reason != "" && resp.StatusCode == http.StatusServiceUnavailable {
-		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
-	}
-	if echoed := resp.Header.Get(HeaderRequestID); echoed != "" && echoed != head.RequestID {
-		d.log.Error("upstream answered another request", "upstream", u.id, "sent", head.RequestID, "got", echoed)
+	protocol := &d.cfg.Upstreams
+	if !protocol.owns(resp.Header, head.RequestID) {
+		d.log.Error("upstream answered another request", "upstream", u.id, "request", head.RequestID, "got", resp.Header.Get(protocol.RequestID))
 		return outcome.MayHaveRun(outcome.ReasonShortAnswer), ResultBroken
 	}
+	switch protocol.Refusal(resp) {
+	case RefusedFull:
+		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
+	case RefusedOther:
+		return outcome.HasNotRun(outcome.ReasonUpstreamGone), ResultRefused
+	}
 	w.head(&wire.AnswerHead{
 		RequestID: head.RequestID,
 		Status:    resp.StatusCode,
@@ -205,7 +200,7 @@
 
 func (opaqueBody) Close() error { return nil }
 
-func newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) (*http.Request, *atomic.Bool) {
+func (d *Dispatcher) newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) (*http.Request, *atomic.Bool) {
 	sent := new(atomic.Bool)
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	req := &http.Request{
@@ -225,8 +220,11 @@
 		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
 	}
 	deadline, _ := ctx.Deadline()
-	req.Header.Set(HeaderRequestID, head.RequestID)
-	req.Header.Set(HeaderDeadlineMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	protocol := &d.cfg.Upstreams
+	set(req.Header, protocol.RequestID, head.RequestID)
+	set(req.Header, protocol.DeadlineMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	set(req.Header, protocol.Expected, string(u.id))
+	set(req.Header, protocol.Origin, head.Origin)
 	return req.WithContext(httptrace.WithClientTrace(ctx, trace)), sent
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -22,20 +22,6 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-// Headers of callers' requests.
-const (
-	HeaderKey       = "Idempotency-Key"
-	HeaderTimeoutMs = "Godwithub-Timeout-Ms" // shortens the kind's deadline, in milliseconds
-	HeaderCaller    = "Godwithub-Caller"
-)
-
-// Headers of answers to callers.
-const (
-	HeaderRequestID = "Godwithub-Request-Id"
-	HeaderOutcome   = "Godwithub-Outcome"
-	HeaderReason    = "Godwithub-Reason"
-)
-
 // Config holds what an Ingress needs. All fields are required but CrossRegion, Record and Claims.
 type Config struct {
 	Log    *slog.Logger
@@ -48,6 +34,14 @@
 	Record func(Finished)
 	// Claims fences attempts whose dispatcher was lost. Nil: none are.
 	Claims idempotency.Claims
+	// Callers names the headers of requests. The zero value is OwnProtocol.
+	Callers Protocol
+	// Origin is the service of this VM, if upstreams are told where requests
+	// came in.
+	Origin string
+	// LameDuck says that requests are served while the node leaves, until its
+	// listener is closed. Otherwise they are refused.
+	LameDuck bool
 }
 
 // Ingress is the HTTP handler for callers. It is safe for concurrent use.
@@ -83,6 +77,9 @@
 
 // New returns an ingress.
 func New(cfg Config) *Ingress {
+	if cfg.Callers == (Protocol{}) {
+		cfg.Callers = OwnProtocol()
+	}
 	return &Ingress{
 		cfg:     cfg,
 		log:     cfg.Log,
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -43,7 +43,9 @@
 	deadline    time.Time
 	body        []byte
 	fingerprint uint64
-	http        *http.Request
+	// origin is the service of the VM where the request came in.
+	origin string
+	http   *http.Request
 }
 
 // refusal is a request refused before any attempt.
@@ -64,11 +66,13 @@
 
 // parse checks a caller's request and finds its kind. It reads the body. The
 // request id is set even if it returns a refusal.
-func parse(v *board.View, r *http.Request, now time.Time) (*request, error) {
-	rq := &request{id: newRequestID(), began: now, http: r}
-	rq.shedHash = xxhash.Sum64String(rq.id)
+func (in *Ingress) parse(v *board.View, r *http.Request, now time.Time) (*request, error) {
+	rq := &request{began: now, http: r, origin: in.cfg.Origin}
+	if err := rq.identify(in.cfg.Callers.RequestID); err != nil {
+		return rq, err
+	}
 	switch {
-	case v.Leaving:
+	case v.Leaving && !in.cfg.LameDuck:
 		return rq, refuse(outcome.ReasonDraining, "the node is leaving")
 	case v.Config == nil:
 		return rq, refuse(outcome.ReasonNoConfiguration, "the node has no configuration yet")
@@ -76,12 +80,23 @@
 	if err := rq.match(v.Config); err != nil {
 		return rq, err
 	}
-	if err := rq.readHeaders(); err != nil {
+	if err := rq.readHeaders(&in.cfg.Callers); err != nil {
 		return rq, err
 	}
 	return rq, rq.readBody()
 }
 
+// identify sets the id of the request. header is where callers send one.
+func (rq *request) identify(header string) error {
+	if header == "" {
+		rq.id = newRequestID()
+	} else if rq.id = rq.http.Header.Get(header); rq.id == "" || len(rq.id) > maxKeyLength {
+		return refuse(outcome.ReasonBadRequest, "%s: not 1 to %d characters", header, maxKeyLength)
+	}
+	rq.shedHash = xxhash.Sum64String(rq.id)
+	return nil
+}
+
 func (rq *request) match(c *resource.Config) error {
 	r := rq.http
 	route := c.Route(r.Host, r.URL.Path)
@@ -105,27 +120,27 @@
 	return nil
 }
 
-func (rq *request) readHeaders() error {
+func (rq *request) readHeaders(names *Protocol) error {
 	h := rq.http.Header
-	rq.caller = h.Get(HeaderCaller)
+	rq.caller = headerOf(h, names.Caller)
 	if rq.caller == "" {
 		// Callers without a name share fairness by their address.
 		rq.caller, _, _ = net.SplitHostPort(rq.http.RemoteAddr)
 	} else if !resource.ValidName(rq.caller) {
-		return refuse(outcome.ReasonBadRequest, "%s: not 1 to 63 lower-case letters, digits and inner dashes", HeaderCaller)
+		return refuse(outcome.ReasonBadRequest, "%s: not 1 to 63 lower-case letters, digits and inner dashes", names.Caller)
 	}
-	if keys := h.Values(HeaderKey); len(keys) > 1 {
-		return refuse(outcome.ReasonBadRequest, "%s: given %d times", HeaderKey, len(keys))
+	if names.Key != "" && len(h.Values(names.Key)) > 1 {
+		return refuse(outcome.ReasonBadRequest, "%s: given %d times", names.Key, len(h.Values(names.Key)))
 	}
-	rq.key = h.Get(HeaderKey)
+	rq.key = headerOf(h, names.Key)
 	if !validKey(rq.key) {
-		return refuse(outcome.ReasonBadRequest, "%s: not up to %d printable ASCII characters", HeaderKey, maxKeyLength)
+		return refuse(outcome.ReasonBadRequest, "%s: not up to %d printable ASCII characters", names.Key, maxKeyLength)
 	}
 	timeout := time.Duration(rq.kind.DeadlineMs) * time.Millisecond
-	if s := h.Get(HeaderTimeoutMs); s != "" {
+	if s := headerOf(h, names.TimeoutMs); s != "" {
 		ms, err := strconv.ParseInt(s, 10, 64)
 		if err != nil || ms < 1 || ms > maxTimeoutMs {
-			return refuse(outcome.ReasonBadRequest, "%s: %q is not a number from 1 to %d", HeaderTimeoutMs, s, maxTimeoutMs)
+			return refuse(outcome.ReasonBadRequest, "%s: %q is not a number from 1 to %d", names.TimeoutMs, s, maxTimeoutMs)
 		}
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
@@ -133,6 +148,14 @@
 	return nil
 }
 
+// headerOf returns a header that callers may send, or "" if it has no name.
+func headerOf(h http.Header, name string) string {
+	if name == "" {
+		return ""
+	}
+	return h.Get(name)
+}
+
 func validKey(s string) bool {
 	if len(s) > maxKeyLength {
 		return false
@@ -196,5 +219,6 @@
 		Retry:       retry,
 		Fingerprint: rq.fingerprint,
 		Idempotent:  rq.kind.Idempotent,
+		Origin:      rq.origin,
 	}
 }
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -63,7 +63,7 @@
 func parseText(t *testing.T, text string) (*request, error) {
 	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 	assert.NilError(t, err)
-	return parse(testView(), r, time.Now())
+	return New(Config{}).parse(testView(), r, time.Now())
 }
 
 // Guards against a deadline that a caller lengthens, and a fingerprint that
@@ -97,7 +97,7 @@
 		if err != nil {
 			return
 		}
-		rq, err := parse(v, r, time.Now())
+		rq, err := New(Config{}).parse(v, r, time.Now())
 		var refused *refusal
 		if err != nil {
 			assert.Assert(t, errors.As(err, &refused))
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -32,7 +33,11 @@
 	defer in.active.Done()
 	in.stats.requests.Add(1)
 	v := in.cfg.View()
-	rq, err := parse(v, r, time.Now())
+	if v.Leaving {
+		// The caller should open its next connection to another node.
+		w.Header().Set("Connection", "close")
+	}
+	rq, err := in.parse(v, r, time.Now())
 	if err == nil && !in.withinRate(v, rq.caller) {
 		err = refuse(outcome.ReasonRateLimited, "caller %s is over its rate", rq.caller)
 	}
@@ -53,10 +58,6 @@
 		r = &refusal{outcome.ReasonInternal, err.Error()}
 	}
 	e := outcome.HasNotRun(r.reason)
-	if r.reason == outcome.ReasonDraining {
-		// The caller should open its next connection to another node.
-		w.Header().Set("Connection", "close")
-	}
 	in.stats.notRun.Add(1)
 	fail(w, rq.id, e, r.message)
 	in.trace.add(Trace{RequestID: rq.id, Began: rq.began, Ended: e, Message: r.message})
@@ -69,8 +70,11 @@
 	rq       *request
 	out      *answer
 	attempts int
-	tried    []fleet.UpstreamID
-	trace    []AttemptTrace
+	// loaded says that an attempt loaded an upstream or met a lack of capacity.
+	loaded bool
+	runs   int // attempts that an upstream may have run
+	tried  []fleet.UpstreamID
+	trace  []AttemptTrace
 }
 
 // run makes attempts until one settles the request.
@@ -87,6 +91,7 @@
 			}
 			return last
 		}
+		s.countRun(e)
 		last = settle(last, e, mayHaveRun)
 		mayHaveRun = mayHaveRun || e.Outcome != outcome.NotRun
 		if s.waitForHolder(ctx, e) {
@@ -101,6 +106,14 @@
 	}
 }
 
+// countRun counts what an attempt that ended with e did at its upstream.
+func (s *serving) countRun(e outcome.Ended) {
+	s.loaded = s.loaded || e.Loaded()
+	if e.Outcome != outcome.NotRun {
+		s.runs++
+	}
+}
+
 // settle returns what is known of a request after its latest attempt ended
 // with e. A "not run" speaks of its own attempt only: once an earlier one may
 // have run, so may the request.
@@ -156,6 +169,9 @@
 		Ended:      e,
 		Idempotent: s.rq.kind.Idempotent,
 		Attempts:   s.attempts,
+		Free:       !s.loaded,
+		Runs:       s.runs,
+		MaxRuns:    s.rq.kind.MaxAttempts,
 		Deadline:   s.rq.deadline,
 	}) == retry.Allowed
 }
@@ -171,7 +187,7 @@
 	s.attempts++
 	s.in.stats.attempts.Add(1)
 	s.tried = append(s.tried, u.ID)
-	s.out.retryStatus = s.rq.kind.Idempotent && s.attempts < retry.MaxAttempts
+	s.out.retryStatus = s.rq.kind.Idempotent && s.runs+1 < cmp.Or(s.rq.kind.MaxAttempts, retry.MaxRuns)
 	a := &attempt{
 		in:   s.in,
 		rq:   s.rq,
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -113,3 +113,15 @@
 	}
 	return false
 }
+
+// Loaded reports whether the attempt came to an upstream, or was refused
+// because there was no capacity for it. Other attempts failed on the way.
+func (e Ended) Loaded() bool {
+	switch {
+	case e.Outcome != NotRun:
+		return true
+	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect:
+		return false
+	}
+	return true
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -3,6 +3,7 @@
 package retry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/godwithub/godwithub/outcome"
@@ -19,8 +20,12 @@
 	// ReserveInterval is long enough that attempts stay under 1.2 per request
 	// in the long run from 0.2 requests/s on.
 	ReserveInterval = time.Minute
-	// MaxAttempts is the number of attempts at one request.
-	MaxAttempts = 3
+	// MaxAttempts is the number of attempts at one request, with those that
+	// came to no upstream.
+	MaxAttempts = 6
+	// MaxRuns is the number of upstreams that may run one request of a kind
+	// that states none.
+	MaxRuns = 3
 
 	buckets = 10
 	bucket  = Window / buckets
@@ -90,7 +95,13 @@
 	Ended      outcome.Ended
 	Idempotent bool
 	Attempts   int // made so far, with the one that ended
-	Deadline   time.Time
+	// Free says that no attempt so far loaded an upstream, nor was refused for
+	// lack of capacity. Another one then takes nothing from the budget.
+	Free bool
+	// Runs is how many of the attempts an upstream may have run, and MaxRuns
+	// bounds it. 0: the constant MaxRuns.
+	Runs, MaxRuns int
+	Deadline time.Time
 	// Expected is the usual time of another attempt.
 	Expected time.Duration
 }
@@ -102,7 +113,7 @@
 const (
 	Allowed         Refusal = ""
 	RefusedOutcome  Refusal = "outcome"  // answered, final, or it may have run
-	RefusedAttempts Refusal = "attempts" // MaxAttempts were made
+	RefusedAttempts Refusal = "attempts" // MaxAttempts or MaxRuns were made
 	RefusedDeadline Refusal = "deadline" // another attempt would end too late
 	RefusedBudget   Refusal = "budget"   // the service's budget is used up
 )
@@ -113,11 +124,11 @@
 	switch {
 	case !a.Ended.RetryAllowed(a.Idempotent):
 		return RefusedOutcome
-	case a.Attempts >= MaxAttempts:
+	case a.Attempts >= MaxAttempts, a.Runs >= cmp.Or(a.MaxRuns, MaxRuns):
 		return RefusedAttempts
 	case now.Add(a.Expected).After(a.Deadline):
 		return RefusedDeadline
-	case !b.Allow(now):
+	case !a.Free && !b.Allow(now):
 		return RefusedBudget
 	}
 	return Allowed
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -53,6 +53,8 @@
 		{"final", Attempt{Ended: outcome.HasNotRun(outcome.ReasonCrashing), Idempotent: true, Attempts: 1}, RefusedOutcome},
 		{"answered", Attempt{Ended: outcome.Ended{Outcome: outcome.Answered}, Idempotent: true, Attempts: 1}, RefusedOutcome},
 		{"attempts", Attempt{Ended: refused, Attempts: MaxAttempts}, RefusedAttempts},
+		{"runs", Attempt{Ended: lost, Idempotent: true, Attempts: 2, Runs: 2, MaxRuns: 2}, RefusedAttempts},
+		{"fewer runs", Attempt{Ended: lost, Idempotent: true, Attempts: 3, Runs: 1, MaxRuns: 2}, Allowed},
 		{"deadline", Attempt{Ended: refused, Attempts: 1, Expected: 2 * time.Second}, RefusedDeadline},
 	} {
 		var b Budget
@@ -74,3 +76,19 @@
 	}
 	assert.Equal(t, allowed, Reserve)
 }
+
+// Guards against retries that load no upstream and yet use up the budget, and
+// against others that are not counted.
+func TestFreeAttempts(t *testing.T) {
+	var b Budget
+	a := Attempt{Ended: outcome.HasNotRun(outcome.ReasonUpstreamGone), Attempts: 1, Deadline: start.Add(time.Second)}
+	a.Free = true
+	for range 100 {
+		assert.Equal(t, Decide(start, &b, a), Allowed)
+	}
+	a.Free = false
+	for range Reserve {
+		assert.Equal(t, Decide(start, &b, a), Allowed)
+	}
+	assert.Equal(t, Decide(start, &b, a), RefusedBudget)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -86,6 +86,9 @@
 	// predecessor did with the attempt, so it neither runs it nor calls it "not
 	// run".
 	Lifetime uint64 `cbor:"17,keyasint,omitempty"`
+	// Origin is the service of the VM where the request came in, if the
+	// upstreams are told.
+	Origin string `cbor:"18,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
