--- a/announce/announce.go
+++ b/announce/announce.go
@@ -36,7 +36,7 @@
 	Service string           `json:"service"`
 	Addr    string           `json:"addr"`  // IP:port of its HTTP server
 	Slots   int              `json:"slots"` // requests it runs at once
-	// Connections is how many connections it accepts.
+	// Connections is how many connections it accepts. 0: it does not say.
 	Connections int `json:"connections"`
 	// LeaseMs is how long the announcement holds, in milliseconds. An upstream
 	// renews it three times within a lease.
@@ -46,11 +46,24 @@
 	// WarmMs is the length of its cold start from its first announcement, in
 	// milliseconds.
 	WarmMs int64 `json:"warmMs"`
+	// Born is the start of the upstream's process in Unix milliseconds, and
+	// Sequence grows with each of its announcements. Both are 0 for upstreams
+	// that don't tell.
+	Born     int64  `json:"-"`
+	Sequence uint64 `json:"-"`
 }
 
 // Lease returns the lease of a.
 func (a *Announcement) Lease() time.Duration { return time.Duration(a.LeaseMs) * time.Millisecond }
 
+// ConnectionsUpTo returns how many of n connections the upstream accepts.
+func (a *Announcement) ConnectionsUpTo(n int) int {
+	if a.Connections == 0 {
+		return n
+	}
+	return min(n, a.Connections)
+}
+
 // WarmUp returns the length of the cold start.
 func (a *Announcement) WarmUp() time.Duration { return time.Duration(a.WarmMs) * time.Millisecond }
 
@@ -67,7 +80,7 @@
 	check(resource.ValidName(a.Service), "service", "%q is not a valid name", a.Service)
 	check(err == nil && net.ParseIP(host) != nil, "addr", "%q is not an IP address and port", a.Addr)
 	check(a.Slots >= 1 && a.Slots <= maxSlots, "slots", "%d is not between 1 and %d", a.Slots, maxSlots)
-	check(a.Connections >= 1 && a.Connections <= maxConnections, "connections", "%d is not between 1 and %d", a.Connections, maxConnections)
+	check(a.Connections >= 0 && a.Connections <= maxConnections, "connections", "%d is not between 0 and %d", a.Connections, maxConnections)
 	check(a.Lease() >= minLease && a.Lease() <= maxLease, "leaseMs", "%d is not between %d and %d", a.LeaseMs, minLease.Milliseconds(), maxLease.Milliseconds())
 	check(a.WarmMs >= 0 && a.WarmUp() <= maxWarmUp, "warmMs", "%d is not between 0 and %d", a.WarmMs, maxWarmUp.Milliseconds())
 	return errors.Join(faults...)
--- a/board/controllers.go
+++ b/board/controllers.go
@@ -55,11 +55,13 @@
 	case Announced:
 		s.renew(e, now)
 	case Withdrawn:
-		s.drop(e.ID)
+		// The dispatcher has been told, and may have had the next announcement.
+		delete(s.Local, e.ID)
 	case Tick:
 		for id, u := range s.Local {
 			if now.After(u.LeaseEnds) {
-				s.drop(id)
+				delete(s.Local, id)
+				s.Do(DropUpstream{id})
 			}
 		}
 	}
@@ -69,7 +71,6 @@
 	a := e.Announcement
 	u := s.Local[a.ID]
 	if u == nil || u.Service != a.Service || u.Addr != a.Addr {
-		s.drop(a.ID)
 		u = &LocalUpstream{FirstSeen: now}
 		s.Local[a.ID] = u
 	}
@@ -77,15 +78,6 @@
 	u.LeaseEnds = now.Add(a.Lease())
 }
 
-func (s *State) drop(id fleet.UpstreamID) {
-	u := s.Local[id]
-	if u == nil {
-		return
-	}
-	delete(s.Local, id)
-	s.Do(DropUpstream{id})
-}
-
 // leave begins a planned stop.
 func leave(s *State, e Event, _ time.Time) {
 	if _, ok := e.(LeaveRequested); ok {
--- a/cmd/godwithub-node/main.go
+++ b/cmd/godwithub-node/main.go
@@ -46,7 +46,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	n, err := node.New(set, log, node.JoinFleet(set))
+	n, err := node.New(set, log, node.Options{Join: node.JoinFleet(set)})
 	if err != nil {
 		return err
 	}
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -42,6 +42,9 @@
 	// Current is that of the replication. It is set before Options.Register is
 	// called.
 	Current func(ctx context.Context) (context.Context, error)
+	// ControlAddrs returns the link addresses of the control VMs that membership
+	// knows. It is that of Options, and may be nil.
+	ControlAddrs func() []string
 }
 
 // Replication replicates the configuration. One that is a server.MemberChanger
@@ -77,6 +80,10 @@
 	Burn  func(now time.Time) burn.Report
 	// Members changes the members of the control group. May be nil.
 	Members server.MemberChanger
+	// ControlAddrs is passed to Parts. May be nil.
+	ControlAddrs func() []string
+	// API replaces the resource API at its address. May be nil.
+	API func(Parts, Replication) http.Handler
 }
 
 // Daemon is one running member.
@@ -96,13 +103,10 @@
 
 // New loads the stored configuration and opens the addresses. Run serves them.
 func New(set Settings, log *slog.Logger, options Options) (_ *Daemon, err error) {
-	ring, err := keys.Load(set.KeysDir)
+	ring, err := set.ring()
 	if err != nil {
 		return nil, err
 	}
-	if ring.Name != set.NodeID {
-		return nil, fmt.Errorf("controld: node-id is %q but the certificate is for %q", set.NodeID, ring.Name)
-	}
 	host, _, err := net.SplitHostPort(set.LinkAddr)
 	if err != nil {
 		return nil, fmt.Errorf("controld: link address: %w", err)
@@ -117,6 +121,7 @@
 	d.parts = Parts{
 		Settings: set, Ring: ring, Machine: control.NewMachine(), Mux: link.NewMux(logging.Part(log, "link")),
 		Dialer: tlslink.NewDialer(host, ring.Client(keys.RoleControl)), Log: log,
+		ControlAddrs: options.ControlAddrs,
 	}
 	if options.Replicate == nil {
 		options.Replicate = replicateLocally
@@ -130,17 +135,22 @@
 			return nil, err
 		}
 	}
-	if err := d.newServer(log); err != nil {
+	handler, err := d.newHandler(log)
+	if err != nil {
 		return nil, err
 	}
-	return d, d.listen(ring)
+	return d, d.listen(ring, handler)
 }
 
-func (d *Daemon) newServer(log *slog.Logger) error {
+// newHandler returns the handler of the API address.
+func (d *Daemon) newHandler(log *slog.Logger) (http.Handler, error) {
+	if d.options.API != nil {
+		return d.options.API(d.parts, d.replication), nil
+	}
 	log = logging.Part(log, "api")
 	tokens, err := server.LoadTokens(d.set.TokenFile, log)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	members := d.options.Members
 	if m, ok := d.replication.(server.MemberChanger); ok && members == nil {
@@ -150,10 +160,10 @@
 		Machine: d.parts.Machine, Replicator: d.replication, Tokens: tokens, NodeID: d.set.NodeID,
 		Reached: d.options.Reached, Members: members, Fleet: d.options.Fleet, Burn: d.options.Burn, Log: log,
 	})
-	return err
+	return d.server, err
 }
 
-func (d *Daemon) listen(ring *keys.Ring) error {
+func (d *Daemon) listen(ring *keys.Ring, handler http.Handler) error {
 	var err error
 	if d.listener, err = tlslink.Listen(d.set.LinkAddr, ring.Server()); err != nil {
 		return err
@@ -161,7 +171,7 @@
 	if d.apiLn, err = net.Listen("tcp", d.set.APIAddr); err != nil {
 		return fmt.Errorf("controld: API address: %w", err)
 	}
-	d.api = newHTTPServer(d.server, d.log)
+	d.api = newHTTPServer(handler, d.log)
 	d.api.TLSConfig = ring.API()
 	if d.set.DebugAddr == "" {
 		return nil
@@ -194,7 +204,7 @@
 	g, run := errgroup.WithContext(run)
 	listener := d.listener
 	g.Go(func() error { return d.parts.Mux.Serve(run, listener) })
-	g.Go(func() error { return ignoreClosed(d.api.ServeTLS(d.apiLn, "", "")) })
+	g.Go(func() error { return ignoreClosed(d.serveAPI()) })
 	if d.debug != nil {
 		g.Go(func() error { return ignoreClosed(d.debug.Serve(d.debugLn)) })
 	}
@@ -222,12 +232,21 @@
 	return err
 }
 
+func (d *Daemon) serveAPI() error {
+	if d.api.TLSConfig == nil {
+		return d.api.Serve(d.apiLn)
+	}
+	return d.api.ServeTLS(d.apiLn, "", "")
+}
+
 // shutdown ends watches, waits for requests in hand and closes the rest. stop
 // ends the handlers of the link.
 func (d *Daemon) shutdown(stop context.CancelFunc) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.set.ShutdownTimeout)
 	defer cancel()
-	d.server.Close()
+	if d.server != nil {
+		d.server.Close()
+	}
 	err := d.api.Shutdown(ctx)
 	if err != nil {
 		err = fmt.Errorf("controld: requests were still in hand: %w", err)
--- a/controld/debug.go
+++ b/controld/debug.go
@@ -13,7 +13,7 @@
 func (d *Daemon) debugHandler() http.Handler {
 	vars := map[string]expvar.Var{
 		"control": d.parts.Machine.Metrics(),
-		"api":     d.server.Metrics(),
+		"api":     d.apiMetrics(),
 		// Counts of all consensus replicas of the process.
 		"consensus": expvar.Get("consensus"),
 		"memstats":  expvar.Get("memstats"),
@@ -38,3 +38,12 @@
 	})
 	return mux
 }
+
+// apiMetrics returns the counters of the resource API; nil if another API is
+// served in its place.
+func (d *Daemon) apiMetrics() expvar.Var {
+	if d.server == nil {
+		return new(expvar.Map)
+	}
+	return d.server.Metrics()
+}
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/godwithub/godwithub/burn"
@@ -24,7 +25,7 @@
 type Fleet struct {
 	holder  *distribute.Holder
 	burn    *burn.Store
-	gossip  *gossip.Gossip
+	gossip  atomic.Pointer[gossip.Gossip]
 	dialer  link.Dialer
 	stopped chan struct{}
 	cancel  context.CancelFunc
@@ -35,21 +36,39 @@
 func NewFleet() (*Fleet, Options) {
 	f := &Fleet{holder: distribute.NewHolder(), burn: burn.NewStore(time.Now()), stopped: make(chan struct{})}
 	return f, Options{
-		Holder:     f.holder,
-		Register:   f.register,
-		Reached:    server.MemberSource(f.nodes),
-		Background: f.place,
-		Fleet:      f.nodes,
-		Burn:       f.reportBurn,
+		Holder:       f.holder,
+		Register:     f.register,
+		Reached:      server.MemberSource(f.nodes),
+		Background:   f.place,
+		Fleet:        f.nodes,
+		Burn:         f.reportBurn,
+		ControlAddrs: f.controlAddrs,
 	}
 }
 
+// controlAddrs returns the link addresses of the control VMs that membership
+// knows.
+func (f *Fleet) controlAddrs() []string {
+	g := f.gossip.Load()
+	if g == nil {
+		return nil
+	}
+	var out []string
+	for _, n := range g.Members() {
+		if n.Control && n.Usable() {
+			out = append(out, n.LinkAddr)
+		}
+	}
+	return out
+}
+
 // nodes returns the nodes that membership knows of.
 func (f *Fleet) nodes() []fleet.Node {
-	if f.gossip == nil {
+	g := f.gossip.Load()
+	if g == nil {
 		return nil
 	}
-	return fleet.NodesOnly(f.gossip.Members())
+	return fleet.NodesOnly(g.Members())
 }
 
 // serveBurn takes in the counts of a node.
@@ -68,6 +87,9 @@
 
 // place keeps idempotency groups placed on the nodes.
 func (f *Fleet) place(ctx context.Context, p Parts, r control.Replicator) {
+	if !p.Settings.IdempotencyGroups {
+		return
+	}
 	pl := &placer{id: p.Settings.NodeID, machine: p.Machine, replicator: r, nodes: f.nodes, log: p.Log}
 	pl.run(ctx)
 }
@@ -90,17 +112,18 @@
 		GossipAddr:    p.Settings.GossipAddr,
 		Control:       true,
 	}
-	f.gossip, err = gossip.New(gossip.Config{Seeds: p.Settings.Seeds}, self, p.Ring.Gossip, f.dialer, p.Log)
+	g, err := gossip.New(gossip.Config{Seeds: p.Settings.Seeds}, self, p.Ring.Gossip, f.dialer, p.Log)
 	if err != nil {
 		return err
 	}
+	f.gossip.Store(g)
 	p.Mux.Handle(wire.FrameBurn, f.serveBurn)
-	p.Mux.Handle(wire.FrameMembers, f.gossip.HandleStream)
+	p.Mux.Handle(wire.FrameMembers, g.HandleStream)
 	var ctx context.Context
 	ctx, f.cancel = context.WithCancel(context.Background())
 	go func() {
 		defer close(f.stopped)
-		f.gossip.Run(ctx)
+		g.Run(ctx)
 	}()
 	return nil
 }
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -106,6 +106,12 @@
 	p.Mux.Handle(wire.FrameConsensus, g.handleConsensus)
 	p.Mux.Handle(wire.FrameMemberInfo, g.handleInfo)
 	p.Mux.Handle(wire.FrameControlVersion, g.handleVersion)
+	if p.Settings.SelfRepair {
+		j := &joiner{g, logging.Part(p.Log, "join"), func() []string { return g.candidates(&p) }}
+		p.Mux.Handle(wire.FrameControlJoin, j.serve)
+		g.running.Go(func() { j.run(ctx) })
+		g.running.Go(func() { j.prune(ctx) })
+	}
 	g.running.Go(func() { g.keepCurrent(ctx) })
 	if g.blank && len(founders) > 0 {
 		g.running.Go(func() { g.found(ctx) })
@@ -143,6 +149,17 @@
 	return nil
 }
 
+// candidates returns the link addresses of processes that may be members: the
+// seeds and the control VMs that membership knows.
+func (g *Group) candidates(p *Parts) []string {
+	out := slices.Clone(p.Settings.Seeds)
+	if p.ControlAddrs != nil {
+		out = append(out, p.ControlAddrs()...)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // handleConsensus takes messages of members only: the link is open to all
 // processes of the fleet. A blank replica knows no members yet and takes messages
 // from all.
--- a/controld/settings.go
+++ b/controld/settings.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 	"unicode"
+
+	"github.com/godwithub/godwithub/keys"
 )
 
 // Settings are the settings of a member of the control group. Each has a flag
@@ -24,11 +26,15 @@
 	GossipAddr    string   `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
 	Seeds         []string `flag:"seeds" usage:"link addresses of nodes to join membership by, comma-separated" list:"comma" validate:"dive,hostname_port"`
 
-	DataDir   string   `flag:"data-dir" usage:"folder with the stored configuration" validate:"required"`
-	KeysDir   string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
-	TokenFile string   `flag:"token-file" usage:"file with the tokens of the resource API, see godwithub token new" validate:"required"`
-	Founders  []string `flag:"founders" usage:"members of a new group as ID=LINKADDR/APIADDR, comma-separated, the same at all of them; ignored once the data folder belongs to a group" list:"comma"`
-	Join      bool     `flag:"join" usage:"a blank data folder waits until this member is added to an existing group"`
+	DataDir      string   `flag:"data-dir" usage:"folder with the stored configuration" validate:"required"`
+	LinkSecurity string   `flag:"link-security" usage:"keys: TLS with the keys of -keys; none: plain TCP on a network that keeps others out, with the member's IP address as its id" range:"keys or none" validate:"oneof=keys none"`
+	KeysDir      string   `flag:"keys" usage:"folder with this process's keys" validate:"required_if=LinkSecurity keys"`
+	TokenFile    string   `flag:"token-file" usage:"file with the tokens of the resource API, see godwithub token new" validate:"required_if=LinkSecurity keys"`
+	Founders     []string `flag:"founders" usage:"members of a new group as ID=LINKADDR/APIADDR, comma-separated, the same at all of them; ignored once the data folder belongs to a group" list:"comma"`
+	Join         bool     `flag:"join" usage:"a blank data folder waits until this member is added to an existing group"`
+
+	SelfRepair        bool `flag:"self-repair" usage:"take members with a blank data folder into the group without an operator, in the place of lost ones"`
+	IdempotencyGroups bool `flag:"idempotency-groups" usage:"place idempotency groups on nodes; without them requests with a key are refused"`
 
 	ShutdownTimeout time.Duration `flag:"shutdown-timeout" usage:"longest wait for requests in hand at a planned stop" range:"1s to 10m" validate:"min=1s,max=10m"`
 
@@ -38,14 +44,20 @@
 
 // Defaults returns the default settings.
 func Defaults() Settings {
-	return Settings{ShutdownTimeout: 15 * time.Second, LogLevel: "info", LogFormat: "text"}
+	return Settings{
+		LinkSecurity: "keys", IdempotencyGroups: true,
+		ShutdownTimeout: 15 * time.Second, LogLevel: "info", LogFormat: "text",
+	}
 }
 
 // Check returns faults that need more than a rule. Metrics have no
 // authentication, so they are refused outside of loopback.
 func (s *Settings) Check() error {
 	var faults []error
-	if s.DebugAddr != "" {
+	if s.plain() && (hostIP(s.LinkAddr) == nil || hostIP(s.LinkAddr).String() != s.NodeID) {
+		faults = append(faults, fmt.Errorf("-node-id: %q is not the IP address of -link-addr %q, as -link-security none requires", s.NodeID, s.LinkAddr))
+	}
+	if s.DebugAddr != "" && !s.plain() {
 		if ip := hostIP(s.DebugAddr); ip == nil || !ip.IsLoopback() {
 			faults = append(faults, fmt.Errorf("-debug-addr: %q is not a loopback IP address and port", s.DebugAddr))
 		}
@@ -100,3 +112,21 @@
 	}
 	return net.ParseIP(host)
 }
+
+// plain reports whether links have no keys.
+func (s *Settings) plain() bool { return s.LinkSecurity == "none" }
+
+// ring returns the keys of the process.
+func (s *Settings) ring() (*keys.Ring, error) {
+	if s.plain() {
+		return keys.Plain(s.NodeID), nil
+	}
+	ring, err := keys.Load(s.KeysDir)
+	if err != nil {
+		return nil, err
+	}
+	if ring.Name != s.NodeID {
+		return nil, fmt.Errorf("controld: node-id is %q but the certificate is for %q", s.NodeID, ring.Name)
+	}
+	return ring, nil
+}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -59,14 +59,14 @@
 	}
 	// A connection that is being closed still counts for a moment, so there are
 	// more connections than slots, as far as the upstream allows.
-	u.client = newTransport(min(2*a.Slots, a.Connections))
+	u.client = newTransport(a.ConnectionsUpTo(2 * a.Slots))
 	return u
 }
 
 func (u *upstream) update(a announce.Announcement) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.slots = min(a.Slots, a.Connections)
+	u.slots = a.ConnectionsUpTo(a.Slots)
 	u.queue.SetSlots(u.slots)
 	u.draining = a.Draining
 	if u.draining {
--- a/distribute/feeder.go
+++ b/distribute/feeder.go
@@ -28,9 +28,6 @@
 // runFeeding watches control while the node's rank in its region, or a call
 // from another node, asks for it.
 func (f *Follower) runFeeding(ctx context.Context) {
-	if len(f.controlAddrs) == 0 {
-		return
-	}
 	var r *ranking
 	var current *feeding
 	for {
@@ -38,11 +35,11 @@
 		feeder := r.own < f.cfg.FeedersPerRegion
 		should := feeder || time.Now().UnixNano() < f.calledUntil.Load()
 		// A feeder whose rank changes moves to the control of that rank.
-		if current != nil && (!should || feeder && current.rank != r.own) {
+		if current != nil && (!should || feeder && current.rank != r.own || current.over()) {
 			current.end()
 			current = nil
 		}
-		if current == nil && should {
+		if current == nil && should && len(f.controls()) > 0 {
 			current = f.startFeeding(ctx, r.own)
 		}
 		if !sleep(ctx, rankInterval) {
@@ -71,6 +68,16 @@
 	return c
 }
 
+// over reports whether it ended by itself, for want of a control to watch.
+func (c *feeding) over() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *feeding) end() {
 	c.stop()
 	<-c.ended
@@ -86,7 +93,11 @@
 	// the load.
 	first := uint64(rank) + xxhash.Sum64String(f.peers.self.Region)>>1
 	for next := first; ctx.Err() == nil; next++ {
-		addr := f.controlAddrs[next%uint64(len(f.controlAddrs))]
+		controls := f.controls()
+		if len(controls) == 0 {
+			return
+		}
+		addr := controls[next%uint64(len(controls))]
 		f.stats.watches.Add(1)
 		answered, err := f.watch(ctx, addr)
 		f.connected.Store(false)
@@ -104,7 +115,7 @@
 			f.callOthers(ctx)
 		}
 		// Every control is tried once before the wait grows.
-		if tries%len(f.controlAddrs) != 0 {
+		if tries%len(controls) != 0 {
 			continue
 		}
 		if !sleep(ctx, wait.next()) {
--- a/distribute/follower.go
+++ b/distribute/follower.go
@@ -58,7 +58,8 @@
 type Dialers struct {
 	Nodes   link.Dialer // expects nodes
 	Control link.Dialer // expects control
-	// ControlAddrs are the link addresses of control. Empty: only peers are asked.
+	// ControlAddrs are link addresses of control, beside those that membership
+	// knows.
 	ControlAddrs []string
 }
 
@@ -161,15 +162,21 @@
 			}
 		})
 	}
-	if len(f.controlAddrs) > 0 {
-		asked.Go(func() { f.askControl(ctx) })
-	}
+	asked.Go(func() { f.askControl(ctx) })
 	asked.Wait()
 }
 
+// controls returns the link addresses of control: those of the settings, and
+// those of control VMs that membership knows.
+func (f *Follower) controls() []string { return f.peers.controlAddrs(f.controlAddrs) }
+
 // askControl pulls from one control.
 func (f *Follower) askControl(ctx context.Context) {
-	addr := f.controlAddrs[rand.IntN(len(f.controlAddrs))]
+	controls := f.controls()
+	if len(controls) == 0 {
+		return
+	}
+	addr := controls[rand.IntN(len(controls))]
 	a, err := pull(ctx, f.control, addr, request{Since: f.holder.Version()}, f.cfg.FrameTimeout)
 	if err == nil {
 		err = f.offer(a.delta)
@@ -181,9 +188,6 @@
 
 // runPolls asks control now and then, whoever watches it.
 func (f *Follower) runPolls(ctx context.Context) {
-	if len(f.controlAddrs) == 0 {
-		return
-	}
 	for sleep(ctx, f.cfg.PollInterval/2+rand.N(f.cfg.PollInterval)) {
 		if f.connected.Load() {
 			continue
--- a/distribute/peers.go
+++ b/distribute/peers.go
@@ -37,21 +37,27 @@
 	byID map[fleet.NodeID]*peer
 	// generation grows when the ranking of feeders may have changed.
 	generation uint64
+	// control holds the link addresses of live control VMs.
+	control map[fleet.NodeID]string
 }
 
 func newPeers(self fleet.Node) *peers {
-	return &peers{self: self, byID: map[fleet.NodeID]*peer{}}
+	return &peers{self: self, byID: map[fleet.NodeID]*peer{}, control: map[fleet.NodeID]string{}}
 }
 
 // update takes what membership says of a node. Control VMs are left out: they
 // do not watch control, so a region where they have the first ranks would have
 // no feeder.
 func (p *peers) update(n fleet.Node) {
-	if n.ID == p.self.ID || n.Control {
+	if n.ID == p.self.ID {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if n.Control {
+		p.updateControl(n)
+		return
+	}
 	old := p.byID[n.ID]
 	if n.State == fleet.NodeDead {
 		if old != nil {
@@ -73,6 +79,28 @@
 	p.byID[n.ID] = next
 }
 
+// updateControl notes where a control VM is reached. p.mu is held.
+func (p *peers) updateControl(n fleet.Node) {
+	if n.Usable() {
+		p.control[n.ID] = n.LinkAddr
+	} else {
+		delete(p.control, n.ID)
+	}
+}
+
+// controlAddrs returns the given addresses of control and those that
+// membership knows, in order and without repetition.
+func (p *peers) controlAddrs(given []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := slices.Clone(given)
+	for _, addr := range p.control {
+		out = append(out, addr)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // newest returns the highest version that any peer is known to hold.
 func (p *peers) newest() resource.Version {
 	p.mu.Lock()
--- a/localfleet/localfleet.go
+++ b/localfleet/localfleet.go
@@ -171,7 +171,7 @@
 	set.CallerAddr, set.LinkAddr, set.GossipAddr = f.cfg.addr(vm, portCaller), f.cfg.addr(vm, portLink), f.cfg.addr(vm, portGossip)
 	set.AnnounceAddr, set.DebugAddr = f.cfg.addr(vm, portAnnounce), f.cfg.addr(vm, portDebug)
 	set.Seeds, set.ControlAddrs = []string{f.cfg.addr(1, portLink)}, []string{f.cfg.addr(0, portLink)}
-	n, err := node.New(set, f.cfg.Log, node.JoinFleet(set))
+	n, err := node.New(set, f.cfg.Log, node.Options{Join: node.JoinFleet(set)})
 	if err != nil {
 		return err
 	}
--- a/node/new.go
+++ b/node/new.go
@@ -34,17 +34,30 @@
 // Join connects a node to membership and configuration.
 type Join func(Parts) (Membership, ConfigSource, error)
 
+// Options are the exchangeable parts of a node. Zero fields stand for the
+// system's own protocols.
+type Options struct {
+	// Join is required; see JoinFleet.
+	Join Join
+	// Callers and Upstreams name the headers that callers and upstreams use.
+	Callers   ingress.Protocol
+	Upstreams dispatch.Protocol
+	// Announcements returns the handler of announcements.
+	Announcements func(announce.Sink, *slog.Logger) http.Handler
+}
+
 // New opens the node's addresses. Run serves them.
-func New(set Settings, log *slog.Logger, join Join) (*Node, error) {
-	ring, err := keys.Load(set.KeysDir)
+func New(set Settings, log *slog.Logger, options Options) (*Node, error) {
+	ring, err := set.ring()
 	if err != nil {
 		return nil, err
 	}
-	if ring.Name != set.NodeID {
-		return nil, fmt.Errorf("node: node-id is %q but the certificate is for %q", set.NodeID, ring.Name)
+	if options.Announcements == nil {
+		options.Announcements = announce.Handler
 	}
 	n := &Node{
 		set:          set,
+		options:      options,
 		log:          prefixed(log, "node"),
 		burn:         burn.NewRecorder(),
 		stats:        map[string]func() any{},
@@ -67,7 +80,7 @@
 	n.dialer = &link.LocalDialer{Dialer: n.dialer, Addr: set.LinkAddr, Name: set.NodeID, Mux: n.mux}
 	n.groups = n.newGroups(log)
 	n.buildTraffic(log)
-	n.members, n.config, err = join(Parts{self, ring, n.mux, n.dialer, log, n.stats})
+	n.members, n.config, err = options.Join(Parts{self, ring, n.mux, n.dialer, log, n.stats})
 	if err != nil {
 		return nil, err
 	}
@@ -86,6 +99,7 @@
 		Gone:          func(id fleet.UpstreamID) { go n.post(board.Withdrawn{ID: id}) },
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
+		Upstreams:     n.options.Upstreams,
 	})
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
@@ -98,7 +112,10 @@
 		CrossRegion: func(level int, answerBytes int64) bool {
 			return n.crossing.allow(n.board.View(), level, answerBytes)
 		},
-		Claims: n.groups.client,
+		Claims:   n.groups.client,
+		Callers:  n.options.Callers,
+		Origin:   n.set.OriginService,
+		LameDuck: n.set.LameDuck > 0,
 	})
 }
 
@@ -112,9 +129,15 @@
 		return fmt.Errorf("node: announce address: %w", err)
 	}
 	n.announcements = &http.Server{
-		Handler:           announce.Handler(sink{n}, prefixed(log, "announce")),
+		Handler:           n.options.Announcements(sink{n}, prefixed(log, "announce")),
 		ReadHeaderTimeout: headerTimeout,
 	}
+	if n.set.ReadyAddr != "" {
+		if n.readyLn, err = net.Listen("tcp", n.set.ReadyAddr); err != nil {
+			return fmt.Errorf("node: ready address: %w", err)
+		}
+		n.ready = &http.Server{Handler: http.HandlerFunc(n.serveHealth), ReadHeaderTimeout: headerTimeout}
+	}
 	if n.set.DebugAddr == "" {
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -30,8 +30,9 @@
 
 // Node is one running node.
 type Node struct {
-	set Settings
-	log *slog.Logger
+	set     Settings
+	options Options
+	log     *slog.Logger
 
 	board      *board.Board
 	dispatcher *dispatch.Dispatcher
@@ -53,8 +54,8 @@
 	// background ends the exchanges that the board asks for.
 	background context.Context
 
-	callers, announcements, debug *http.Server
-	callerLn, announceLn, debugLn net.Listener
+	callers, announcements, ready, debug   *http.Server
+	callerLn, announceLn, readyLn, debugLn net.Listener
 }
 
 // Membership tells the fleet of this node and this node of the fleet.
@@ -183,6 +184,9 @@
 	if n.debug != nil {
 		g.Go(func() error { return serve(n.debug, n.debugLn) })
 	}
+	if n.ready != nil {
+		g.Go(func() error { return serve(n.ready, n.readyLn) })
+	}
 	g.Go(func() error { n.maintain(run); return nil })
 	g.Go(func() error { n.reportBurn(run, n.config.Control()); return nil })
 	n.log.Info("node is up", "node", n.set.NodeID, "callers", n.callerLn.Addr(), "link", n.listener.Addr())
@@ -222,10 +226,11 @@
 // the work in hand.
 func (n *Node) leave() error {
 	n.log.Info("node is leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), n.set.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.LameDuck+n.set.DrainTimeout)
 	defer cancel()
 	n.post(board.LeaveRequested{})
 	err := n.members.Leave(ctx)
+	n.lameDuck(ctx)
 	// Shutdown waits for requests in hand; connections that are idle or come
 	// new are closed, so that callers turn to other nodes.
 	err = errors.Join(err, n.callers.Shutdown(ctx))
@@ -237,8 +242,10 @@
 	n.listener.Close()
 	n.dialer.Close()
 	n.members.Close()
-	if n.debug != nil {
-		n.debug.Close()
+	for _, s := range []*http.Server{n.debug, n.ready} {
+		if s != nil {
+			s.Close()
+		}
 	}
 	if err != nil {
 		return fmt.Errorf("node: leave: %w", err)
@@ -247,5 +254,14 @@
 	return nil
 }
 
+// lameDuck goes on taking requests until callers have learned that the node
+// leaves.
+func (n *Node) lameDuck(ctx context.Context) {
+	select {
+	case <-time.After(n.set.LameDuck):
+	case <-ctx.Done():
+	}
+}
+
 // prefixed returns the logger of a part.
 func prefixed(l *slog.Logger, part string) *slog.Logger { return logging.Part(l, part) }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -91,7 +91,7 @@
 	set.CallerAddr, set.LinkAddr, set.AnnounceAddr = freeAddr(t), freeAddr(t), freeAddr(t)
 	log, err := logging.New(os.Stderr, logging.Text, "warn")
 	assert.NilError(t, err)
-	n, err := New(set, log, func(Parts) (Membership, ConfigSource, error) { return h, fixedConfig{h.set}, nil })
+	n, err := New(set, log, Options{Join: func(Parts) (Membership, ConfigSource, error) { return h, fixedConfig{h.set}, nil }})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/node/settings.go
+++ b/node/settings.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/godwithub/godwithub/keys"
 )
 
 // Settings are the settings of a node. Each has a flag and an environment
@@ -22,14 +24,18 @@
 	GossipAddr    string `flag:"gossip-addr" usage:"IP:port for membership datagrams (UDP)" validate:"required,hostname_port"`
 	AnnounceAddr  string `flag:"announce-addr" usage:"IP:port on loopback for announcements of this VM's upstreams" validate:"required,hostname_port"`
 	DebugAddr     string `flag:"debug-addr" usage:"IP:port on loopback for metrics and health; empty: none" validate:"omitempty,hostname_port"`
+	ReadyAddr     string `flag:"ready-addr" usage:"IP:port that answers any GET with 200 while the node takes requests, else 503; empty: none" validate:"omitempty,hostname_port"`
+	OriginService string `flag:"origin-service" usage:"service of this VM, told to upstreams as the origin of requests that come in here" validate:"max=63"`
 
-	KeysDir      string   `flag:"keys" usage:"folder with this process's keys" validate:"required"`
+	LinkSecurity string   `flag:"link-security" usage:"keys: TLS with the keys of -keys; none: plain TCP on a network that keeps others out, with the node's IP address as its id" range:"keys or none" validate:"oneof=keys none"`
+	KeysDir      string   `flag:"keys" usage:"folder with this process's keys" validate:"required_if=LinkSecurity keys"`
 	Seeds        []string `flag:"seeds" usage:"link addresses of other nodes to join, comma-separated" list:"comma" validate:"dive,hostname_port"`
 	ControlAddrs []string `flag:"control-addrs" usage:"link addresses of the control VMs, comma-separated" list:"comma" validate:"dive,hostname_port"`
 
 	LinkTransport string `flag:"link-transport" usage:"transport between nodes" range:"tls or quic" validate:"oneof=tls quic"`
 	LinkConns     int    `flag:"link-conns" usage:"QUIC connections to each peer" range:"1 to 64" validate:"min=1,max=64"`
 
+	LameDuck     time.Duration `flag:"lame-duck" usage:"how long the node goes on taking requests after it has begun to leave" range:"0s to 1h" validate:"min=0s,max=1h"`
 	DrainTimeout time.Duration `flag:"drain-timeout" usage:"longest wait for requests in flight at a planned stop" range:"1s to 1h" validate:"min=1s,max=1h"`
 
 	LogLevel  string `flag:"log-level" usage:"least level logged" range:"debug, info, warn or error" validate:"oneof=debug info warn error"`
@@ -39,6 +45,7 @@
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
+		LinkSecurity:  "keys",
 		LinkTransport: "tls",
 		LinkConns:     2,
 		DrainTimeout:  30 * time.Second,
@@ -49,11 +56,14 @@
 
 // Check returns faults that concern more than one setting or need more than a
 // rule. Announcements and metrics have no authentication, so they are refused
-// outside of loopback.
+// outside of loopback, unless nothing on the network has any.
 func (s *Settings) Check() error {
 	var faults []error
+	if s.plain() {
+		faults = append(faults, s.checkPlain())
+	}
 	for _, a := range []struct{ flag, addr string }{{"announce-addr", s.AnnounceAddr}, {"debug-addr", s.DebugAddr}} {
-		if a.addr == "" {
+		if a.addr == "" || s.plain() {
 			continue
 		}
 		host, _, err := net.SplitHostPort(a.addr)
@@ -72,3 +82,34 @@
 	}
 	return errors.Join(faults...)
 }
+
+// plain reports whether links have no keys.
+func (s *Settings) plain() bool { return s.LinkSecurity == "none" }
+
+// checkPlain checks that the node is known by its address, and that no
+// transport is asked for that cannot do without keys.
+func (s *Settings) checkPlain() error {
+	var faults []error
+	if host, _, err := net.SplitHostPort(s.LinkAddr); err != nil || host != s.NodeID {
+		faults = append(faults, fmt.Errorf("-node-id: %q is not the IP address of -link-addr %q, as -link-security none requires", s.NodeID, s.LinkAddr))
+	}
+	if s.LinkTransport == "quic" {
+		faults = append(faults, errors.New("-link-transport: quic needs keys"))
+	}
+	return errors.Join(faults...)
+}
+
+// ring returns the keys of the process.
+func (s *Settings) ring() (*keys.Ring, error) {
+	if s.plain() {
+		return keys.Plain(s.NodeID), nil
+	}
+	ring, err := keys.Load(s.KeysDir)
+	if err != nil {
+		return nil, err
+	}
+	if ring.Name != s.NodeID {
+		return nil, fmt.Errorf("node: node-id is %q but the certificate is for %q", s.NodeID, ring.Name)
+	}
+	return ring, nil
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -101,7 +101,7 @@
 	// Runs is how many of the attempts an upstream may have run, and MaxRuns
 	// bounds it. 0: the constant MaxRuns.
 	Runs, MaxRuns int
-	Deadline time.Time
+	Deadline      time.Time
 	// Expected is the usual time of another attempt.
 	Expected time.Duration
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -41,6 +41,9 @@
 	// FrameControlVersion asks the leader of the control group for its confirmed
 	// version; empty, answered with a resource.Version.
 	FrameControlVersion link.FrameType = 34
+	// FrameControlJoin asks the leader of the control group to take a member
+	// in; a control.Member, answered in a frame of the same type.
+	FrameControlJoin link.FrameType = 35
 
 	// Idempotency groups.
 	FrameGroupCall   link.FrameType = 40 // command for a group
