Refuse work for upstreams that fail at present, and stay near

Cause: upstreams of the platform fail nine of ten requests for a few seconds, each about a third of the time, while their health path reports that all is well.

Change: the dispatcher keeps a filter of two hidden states for each upstream (health.Gray). Above a probability of 0.5 it refuses new attempts as not run, sends waiting ones elsewhere, and lets one idempotent request a second through as a probe. An ingress insists after three such refusals. Such refusals take nothing from the retry budget. Attempts go to the own failure domain while a slot is free there. The reserve of the retry budget is one per node: 25 nodes with three each had spent 202 of 150 repeats that the fleet is allowed.

Ruled out: telling the fleet of each suspicion through membership; the dispatcher is on the way of every attempt and knows at once.

Tests: TestGrayFollowsFailures.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,7 +73,8 @@
 type tier int
 
 const (
-	tierHome        tier = iota // own region, healthy, not full
+	tierNear        tier = iota // own failure domain, healthy, a slot free
+	tierHome                    // own region, healthy, not full
 	tierRemote                  // other region, healthy, not full
 	tierSuspect                 // own region, suspect, not full
 	tierHomeFull                // own region, full
@@ -94,7 +95,7 @@
 	if i, ok := pickTrial(r, &req, candidates, tiers[tierTrial]); ok {
 		return i, true
 	}
-	if i, ok := pickSuspect(r, &req, candidates, tiers[tierHome], tiers[tierSuspect]); ok {
+	if i, ok := pickSuspect(r, &req, candidates, slices.Concat(tiers[tierNear], tiers[tierHome]), tiers[tierSuspect]); ok {
 		return i, true
 	}
 	for _, indexes := range tiers {
@@ -124,6 +125,8 @@
 		return tierHomeFull
 	case home && c.Suspect:
 		return tierSuspect
+	case home && c.FailureDomain == req.FailureDomain && free(c):
+		return tierNear
 	case home:
 		return tierHome
 	case c.Suspect || full(c):
@@ -227,6 +230,9 @@
 	return l
 }
 
+// free reports whether a request would find a free slot.
+func free(c *Candidate) bool { return float64(c.InUse+c.Queued) < capacity(c) }
+
 func full(c *Candidate) bool {
 	return float64(c.InUse+c.Queued) >= max(fullFactor*capacity(c), 1)
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -54,7 +54,7 @@
 		c.abandon()
 		return ended(u, outcome.HasNotRun(outcome.ReasonCrashing))
 	}
-	ticket, e, ok := u.acquire(a.ctx, d.ticket(a, head))
+	ticket, e, ok := u.acquire(a.ctx, d.ticket(a, head), head)
 	if !ok {
 		c.abandon()
 		return ended(u, e)
@@ -81,6 +81,9 @@
 	if d.cfg.Crashes != nil && e.Outcome == outcome.Answered {
 		d.cfg.Crashes.Completed(head.Fingerprint)
 	}
+	if failed, tells := d.evidence(head, result, service); tells {
+		u.learn(time.Now(), failed)
+	}
 	u.release(ticket, max(service, 1))
 	c.finish(e, a)
 	d.cfg.Observe(Observation{u.id, u.service, head.Kind, result, service, began, head.Fingerprint})
@@ -167,7 +170,11 @@
 		}
 		return e, result
 	}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	switch {
+	case resp.StatusCode == http.StatusGatewayTimeout:
+		// The upstream ran out of the time that it was given.
+		return outcome.Ended{Outcome: outcome.Answered}, ResultTimeout
+	case resp.StatusCode >= http.StatusInternalServerError:
 		return outcome.Ended{Outcome: outcome.Answered}, ResultError
 	}
 	return outcome.Ended{Outcome: outcome.Answered}, ResultOK
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -10,6 +10,7 @@
 	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
@@ -40,21 +41,27 @@
 	closed   bool
 	suspect  bool
 	queue    *admission.Queue
-	waiting  map[uint64]chan outcome.Ended
+	waiting  map[uint64]place
 	nextID   uint64
 	// running holds the fingerprints of the requests at the upstream.
 	running map[uint64]uint64
 	// levels are the rank levels that exist.
 	levels []int
+	// gray tells whether the upstream fails its work at present, and probedAt
+	// is when it last failed or got a request to find out.
+	gray     health.Gray
+	probedAt time.Time
 }
 
+const grayThreshold = health.GrayFailing
+
 func newUpstream(a announce.Announcement, now time.Time) *upstream {
 	u := &upstream{
 		id:      a.ID,
 		service: a.Service,
 		addr:    a.Addr,
 		queue:   admission.New(admission.Options{Slots: a.Slots}),
-		waiting: map[uint64]chan outcome.Ended{},
+		waiting: map[uint64]place{},
 		running: map[uint64]uint64{},
 	}
 	// A connection that is being closed still counts for a moment, so there are
@@ -103,9 +110,9 @@
 
 // wake ends the wait of a ticket. An Answered outcome stands for a slot. u.mu is held.
 func (u *upstream) wake(id uint64, e outcome.Ended) {
-	if ch := u.waiting[id]; ch != nil {
+	if p, ok := u.waiting[id]; ok {
 		delete(u.waiting, id)
-		ch <- e
+		p.granted <- e
 	}
 }
 
@@ -120,8 +127,8 @@
 
 // acquire waits for a slot. It returns the ticket to release, or how the
 // attempt ended without one.
-func (u *upstream) acquire(ctx context.Context, t admission.Ticket) (admission.Ticket, outcome.Ended, bool) {
-	ch, t, ended, ok := u.offer(t)
+func (u *upstream) acquire(ctx context.Context, t admission.Ticket, head *wire.AttemptHead) (admission.Ticket, outcome.Ended, bool) {
+	ch, t, ended, ok := u.offer(t, head)
 	if !ok {
 		return t, ended, false
 	}
@@ -133,7 +140,7 @@
 	return t, ended, ended == slotGranted
 }
 
-func (u *upstream) offer(t admission.Ticket) (chan outcome.Ended, admission.Ticket, outcome.Ended, bool) {
+func (u *upstream) offer(t admission.Ticket, head *wire.AttemptHead) (chan outcome.Ended, admission.Ticket, outcome.Ended, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.draining {
@@ -142,9 +149,12 @@
 	if u.closed {
 		return nil, t, outcome.HasNotRun(outcome.ReasonUpstreamGone), false
 	}
+	now := time.Now()
+	if u.refusesForHealth(now, head) {
+		return nil, t, outcome.HasNotRun(outcome.ReasonUnhealthy), false
+	}
 	u.nextID++
 	t.ID = u.nextID
-	now := time.Now()
 	u.wakeAll(u.queue.Expire(now), outcome.ReasonDeadline)
 	ok, reason, evicted := u.queue.Offer(now, t)
 	u.wakeAll(evicted, outcome.ReasonShed)
@@ -152,7 +162,7 @@
 		return nil, t, outcome.HasNotRun(reason), false
 	}
 	ch := make(chan outcome.Ended, 1)
-	u.waiting[t.ID] = ch
+	u.waiting[t.ID] = place{ch, !head.Insist}
 	u.fill(now)
 	return ch, t, outcome.Ended{}, true
 }
@@ -243,7 +253,7 @@
 		ShedLevel:  threshold.Level,
 		ShedShare:  threshold.Share,
 		Refused:    threshold.Refused,
-		Suspect:    u.suspect,
+		Suspect:    u.suspect || u.failing(now),
 	}
 }
 
--- /dev/null
+++ b/health/gray_test.go
@@ -0,0 +1,40 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an upstream that goes on getting work after it has begun to
+// fail, and against one that stays out after it has recovered.
+func TestGrayFollowsFailures(t *testing.T) {
+	var g Gray
+	now := time.Unix(1000, 0)
+	assert.Assert(t, g.Failing(now) < GrayFailing)
+	for range 20 {
+		g.Observe(now, false)
+	}
+	assert.Assert(t, g.Failing(now) < 0.01)
+	// An upstream that was sound a second ago.
+	now = now.Add(time.Second)
+	g.Observe(now, true)
+	assert.Assert(t, g.Failing(now) > GrayFailing)
+	assert.Assert(t, g.Failing(now.Add(500*time.Millisecond)) > GrayFailing)
+	assert.Assert(t, g.Failing(now.Add(4*time.Second)) < GrayFailing)
+	g.Observe(now, true)
+	for range 4 {
+		g.Observe(now, false)
+	}
+	assert.Assert(t, g.Failing(now) < GrayFailing)
+}
+
+// Guards against a clock that goes back and gives a probability out of range.
+func TestGrayWithOldTimes(t *testing.T) {
+	var g Gray
+	now := time.Unix(1000, 0)
+	g.Observe(now, true)
+	p := g.Failing(now.Add(-time.Hour))
+	assert.Assert(t, p > 0 && p < 1)
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -73,8 +73,11 @@
 	// loaded says that an attempt loaded an upstream or met a lack of capacity.
 	loaded bool
 	runs   int // attempts that an upstream may have run
-	tried  []fleet.UpstreamID
-	trace  []AttemptTrace
+	// unhealthy counts the attempts that upstreams refused since they fail their
+	// work.
+	unhealthy int
+	tried     []fleet.UpstreamID
+	trace     []AttemptTrace
 }
 
 // run makes attempts until one settles the request.
@@ -106,9 +109,18 @@
 	}
 }
 
+// insistAfter is how many unhealthy upstreams may refuse a request before the
+// next one is asked to try. With fewer, a request would run at an unhealthy
+// upstream while healthy ones are left; with more, one that no upstream is
+// healthy for would go around longer.
+const insistAfter = 3
+
 // countRun counts what an attempt that ended with e did at its upstream.
 func (s *serving) countRun(e outcome.Ended) {
 	s.loaded = s.loaded || e.Loaded()
+	if e.Reason == outcome.ReasonUnhealthy {
+		s.unhealthy++
+	}
 	if e.Outcome != outcome.NotRun {
 		s.runs++
 	}
@@ -199,6 +211,7 @@
 	if a.head.RemainingMs <= 0 {
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
+	a.head.Insist = s.unhealthy >= insistAfter
 	entry := s.in.loads.entry(u.ID)
 	entry.begin()
 	e, load := a.run(ctx)
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -58,6 +58,7 @@
 	ReasonDeadline        Reason = "deadline"          // the deadline could not be met
 	ReasonPathDown        Reason = "path-down"         // the dispatcher could not be reached
 	ReasonConnect         Reason = "connect-failed"    // no connection to the upstream
+	ReasonUnhealthy       Reason = "unhealthy"         // the upstream fails its work at present
 	ReasonUpstreamShed    Reason = "upstream-shed"     // the upstream refused the work before running it
 	ReasonFenced          Reason = "fenced"            // a fence for the key came before the claim
 	ReasonClaimFailed     Reason = "claim-unavailable" // no majority to claim the key
@@ -120,7 +121,7 @@
 	switch {
 	case e.Outcome != NotRun:
 		return true
-	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect:
+	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect, e.Reason == ReasonUnhealthy:
 		return false
 	}
 	return true
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,7 +16,7 @@
 	Window = 10 * time.Second
 	// Reserve is the number of retries allowed beyond Ratio, for services with
 	// few requests. One is restored every ReserveInterval.
-	Reserve = 3
+	Reserve = 1
 	// ReserveInterval is long enough that attempts stay under 1.2 per request
 	// in the long run from 0.2 requests/s on.
 	ReserveInterval = time.Minute
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -92,6 +92,9 @@
 	// Origin is the service of the VM where the request came in, if the
 	// upstreams are told.
 	Origin string `cbor:"18,keyasint,omitempty"`
+	// Insist asks an upstream that fails its work at present to try all the
+	// same, since others have refused.
+	Insist bool `cbor:"19,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
