Log each decision on a request, without ever blocking on the log

Cause: on-call engineers have only logs. Lines go through a bounded backlog and rate and are dropped and counted beyond them; warnings are not rate-limited. Ruled out: slog to the file directly, whose reader could hold up requests. Test: TestAsyncNeverBlocks.

--- a/cmd/godwithub-control/main.go
+++ b/cmd/godwithub-control/main.go
@@ -34,12 +34,13 @@
 	if err = errors.Join(err, s.Check()); err != nil {
 		return err
 	}
-	log, err := logging.New(os.Stderr, logging.Format(s.LogFormat), s.LogLevel)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log, flush, err := logging.NewDaemon(ctx, os.Stderr, logging.Format(s.LogFormat), s.LogLevel)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	defer flush()
 	fleet, options := controld.NewFleet()
 	options.Replicate = controld.Replicate
 	defer fleet.Close()
--- a/cmd/godwithub-node/main.go
+++ b/cmd/godwithub-node/main.go
@@ -40,12 +40,13 @@
 }
 
 func run(set node.Settings) error {
-	log, err := logging.New(os.Stderr, logging.Format(set.LogFormat), set.LogLevel)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log, flush, err := logging.NewDaemon(ctx, os.Stderr, logging.Format(set.LogFormat), set.LogLevel)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	defer flush()
 	n, err := node.New(set, log, node.Options{Join: node.JoinFleet(set)})
 	if err != nil {
 		return err
--- a/cmd/godwithub-platform/main.go
+++ b/cmd/godwithub-platform/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -64,19 +63,16 @@
 	return errors.Join(settings.Check(set), set.Check())
 }
 
-func newLog(format, level string) (*slog.Logger, error) {
-	return logging.New(os.Stdout, logging.Format(format), level)
-}
-
 func runNode(ctx context.Context, p *platform.Settings) error {
 	set := p.Node()
 	if err := check(&set); err != nil {
 		return err
 	}
-	log, err := newLog(set.LogFormat, set.LogLevel)
+	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(set.LogFormat), set.LogLevel)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	n, err := node.New(set, log, node.Options{
 		Join: node.JoinFleet(set), Callers: platform.Callers(), Upstreams: platform.Upstreams(),
 		Announcements: platform.Announcements(p.HeartbeatInterval),
@@ -92,10 +88,11 @@
 	if err := check(&set); err != nil {
 		return err
 	}
-	log, err := newLog(set.LogFormat, set.LogLevel)
+	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(set.LogFormat), set.LogLevel)
 	if err != nil {
 		return err
 	}
+	defer flush()
 	fleet, options := controld.NewFleet()
 	options.Replicate, options.API = controld.Replicate, platform.OperatorAPI
 	defer fleet.Close()
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -59,6 +59,7 @@
 	}
 	e := outcome.HasNotRun(r.reason)
 	in.stats.notRun.Add(1)
+	in.log.Info("request refused", "request", rq.id, "reason", string(r.reason), "message", r.message)
 	fail(w, rq.id, e, r.message)
 	in.trace.add(Trace{RequestID: rq.id, Began: rq.began, Ended: e, Message: r.message})
 }
@@ -266,6 +267,7 @@
 	}
 	s.in.count(e.Outcome)
 	s.in.record(s, e, status)
+	s.log(e, status)
 	switch {
 	case answered:
 		s.out.pass(s.rq)
@@ -278,6 +280,15 @@
 	}
 }
 
+// log writes how the request ended, and what led there.
+func (s *serving) log(e outcome.Ended, status int) {
+	s.in.log.Info("request ended",
+		"request", s.rq.id, "service", s.rq.service.Name, "kind", s.rq.kind.Name, "level", s.rq.level,
+		"status", status, "outcome", e.Outcome.String(), "reason", string(e.Reason),
+		"ms", time.Since(s.rq.began).Milliseconds(), "left_ms", time.Until(s.rq.deadline).Milliseconds(),
+		"config", s.v.Config.Version.String(), "attempts", traceText(s.trace))
+}
+
 func (in *Ingress) count(o outcome.Outcome) {
 	switch o {
 	case outcome.Answered:
--- a/ingress/trace.go
+++ b/ingress/trace.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,3 +68,15 @@
 	}
 	return Trace{}, false
 }
+
+// traceText lists attempts as "upstream@node outcome/reason after ms".
+func traceText(list []AttemptTrace) string {
+	var b strings.Builder
+	for i, t := range list {
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		fmt.Fprintf(&b, "%s@%s %s/%s after %d ms", t.Upstream, t.Node, t.Outcome, t.Reason, t.Took.Milliseconds())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/logging/async_test.go
@@ -0,0 +1,40 @@
+package logging
+
+import (
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(b)
+}
+
+// Guards against requests that wait for a reader of the log, and against a
+// warning that is lost among lines on requests.
+func TestAsyncNeverBlocks(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	a := NewAsync(w)
+	log := a.Limit(slog.New(slog.NewTextHandler(a, nil)))
+	for range asyncBurst + 500 {
+		log.Info("request")
+	}
+	log.Warn("important")
+	assert.Assert(t, a.dropped.Load() >= 400)
+	close(w.release)
+	a.Close()
+	assert.Assert(t, strings.Contains(w.text.String(), "important"))
+}
