Decline attempts at busy upstreams, so that ingresses look on

Cause: at 160 requests/s an ingress hears from a given upstream every few seconds, so it placed work by loads that were seconds old. Requests waited at one upstream for their whole deadline ("deadline after 2837 ms") while others had free slots.

Change: a dispatcher looks at the head of an attempt and declines it at once if no slot is free, or the upstream fails or drains. The answer carries the load as of now. After three upstreams have declined, the best of those whose load is known has to take it. The body of a non-idempotent request is sent only once the dispatcher has taken the head. Declined attempts are free of the budget.

Ruled out: spreading loads between nodes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,6 +4,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -23,7 +24,9 @@
 	InUse         int // slots in use, as last reported
 	// Queued is how many requests wait at its dispatcher ahead of one of this
 	// rank, as last reported; see admission.Queue.Ahead.
-	Queued   int
+	Queued int
+	// Known says that the load was reported a short while ago.
+	Known    bool
 	Suspect  bool
 	Ejected  bool
 	Draining bool
@@ -48,6 +51,9 @@
 	// CrossAllowed says that the request may go to another region if its own
 	// lacks healthy capacity.
 	CrossAllowed bool
+	// Settled says that the loads of several candidates have just been reported.
+	// Of these, the least loaded of the best tier is taken, without a draw.
+	Settled bool
 }
 
 const (
@@ -86,6 +92,9 @@
 // Pick returns the index of the candidate that the next attempt goes to. ok is
 // false if no candidate may take the request.
 func Pick(r *rand.Rand, req Request, candidates []Candidate) (index int, ok bool) {
+	if req.Settled && !slices.ContainsFunc(candidates, func(c Candidate) bool { return usable(&req, &c) && c.Known }) {
+		req.Settled = false
+	}
 	var tiers [tierUnusable][]int
 	for i := range candidates {
 		if t := tierOf(&req, &candidates[i]); t != tierUnusable {
@@ -102,6 +111,9 @@
 		if len(indexes) == 0 {
 			continue
 		}
+		if req.Settled {
+			return leastLoaded(candidates, indexes), true
+		}
 		if req.Key != "" {
 			return preferred(req.Key, candidates, indexes), true
 		}
@@ -110,10 +122,14 @@
 	return 0, false
 }
 
+func usable(req *Request, c *Candidate) bool {
+	return !c.Draining && !c.Ejected && c.Slots > 0 && !slices.Contains(req.Tried, c.Upstream)
+}
+
 func tierOf(req *Request, c *Candidate) tier {
 	home := c.Region == req.Region
 	switch {
-	case c.Draining, c.Ejected, c.Slots <= 0, slices.Contains(req.Tried, c.Upstream):
+	case !usable(req, c), req.Settled && !c.Known:
 		return tierUnusable
 	case !home && !req.CrossAllowed:
 		return tierUnusable
@@ -182,6 +198,13 @@
 	return best
 }
 
+// leastLoaded returns the candidate with the lowest load.
+func leastLoaded(candidates []Candidate, indexes []int) int {
+	return slices.MinFunc(indexes, func(a, b int) int {
+		return cmp.Compare(load(&candidates[a]), load(&candidates[b]))
+	})
+}
+
 // lessLoaded draws two candidates by capacity and returns the one with the
 // lower load; at equal load, one in the request's failure domain.
 func lessLoaded(r *rand.Rand, req *Request, candidates []Candidate, indexes []int) int {
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -21,17 +22,45 @@
 	movable bool
 }
 
-// refusesForHealth reports whether an attempt is to go elsewhere since the
-// upstream fails its work. u.mu is held.
-func (u *upstream) refusesForHealth(now time.Time, head *wire.AttemptHead) bool {
-	if head.Insist || !u.failing(now) {
-		return false
+// decline tells why an attempt is not taken that could be served elsewhere:
+// the upstream has gone or drains, fails its work, or has no free slot. It looks
+// at the head alone, so that the body of a declined attempt need not be sent.
+func (d *Dispatcher) decline(head *wire.AttemptHead) (wire.AnswerEnd, bool) {
+	d.mu.RLock()
+	u, leaving := d.upstreams[fleet.UpstreamID(head.Upstream)], d.leaving
+	d.mu.RUnlock()
+	switch {
+	case leaving:
+		return ended(nil, outcome.HasNotRun(outcome.ReasonDraining)), true
+	case u == nil:
+		return ended(nil, outcome.HasNotRun(outcome.ReasonUpstreamGone)), true
 	}
-	if head.Idempotent && now.Sub(u.probedAt) >= probeInterval {
+	reason := u.decline(time.Now(), head)
+	return ended(u, outcome.HasNotRun(reason)), reason != outcome.ReasonNone
+}
+
+// decline is the part of Dispatcher.decline that looks at the upstream. An
+// attempt that serves as a probe insists from then on.
+func (u *upstream) decline(now time.Time, head *wire.AttemptHead) outcome.Reason {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.draining:
+		return outcome.ReasonDraining
+	case u.closed:
+		return outcome.ReasonUpstreamGone
+	case head.Insist:
+		return outcome.ReasonNone
+	case u.failing(now) && head.Idempotent && now.Sub(u.probedAt) >= probeInterval:
 		u.probedAt = now
-		return false
+		head.Insist = true
+		return outcome.ReasonNone
+	case u.failing(now):
+		return outcome.ReasonUnhealthy
+	case u.inUse >= u.slots:
+		return outcome.ReasonBusy
 	}
-	return true
+	return outcome.ReasonNone
 }
 
 // failing reports whether the upstream fails its work. u.mu is held.
--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -125,6 +125,13 @@
 	return a, isNew
 }
 
+// knows reports whether the attempt called id has come before.
+func (r *registry) knows(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.attempts[id] != nil
+}
+
 // detach is called when a stream was lost. Once none is left the attempt is
 // cancelled, and has ended if it had not started.
 func (r *registry) detach(a *attempt) {
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -24,14 +24,24 @@
 		return
 	}
 	deadline := time.Now().Add(head.Remaining())
-	if err := wire.Write(s, wire.FrameAck, wire.Ack{Lifetime: d.lifetime}); err != nil {
+	foreign := head.Lifetime != 0 && head.Lifetime != d.lifetime
+	ack := wire.Ack{Lifetime: d.lifetime}
+	var end wire.AnswerEnd
+	if !foreign && !d.attempts.knows(head.AttemptID) {
+		end, ack.Declined = d.decline(head)
+	}
+	if err := wire.Write(s, wire.FrameAck, ack); err != nil {
 		s.Reset()
 		return
 	}
 	d.stats.attempts.Add(1)
-	if head.Lifetime != 0 && head.Lifetime != d.lifetime {
+	switch {
+	case foreign:
 		d.refuseForeign(s, head, deadline)
 		return
+	case ack.Declined:
+		d.finishDeclined(s, head, end, deadline)
+		return
 	}
 	a, isNew := d.attempts.attach(head.AttemptID, deadline, func(a *attempt) { a.claim = d.beginClaim(a, head) })
 	if !isNew {
@@ -51,7 +61,7 @@
 	stop := d.watch(a, s)
 	w.keepAlive()
 	began := time.Now()
-	end := d.run(a, head, body, w)
+	end = d.run(a, head, body, w)
 	d.logAttempt(head, &end, time.Since(began))
 	d.attempts.finish(a, end)
 	stop()
@@ -59,6 +69,19 @@
 	w.finish(end)
 }
 
+// finishDeclined ends an attempt that is not taken. The body of an idempotent
+// one is on its way already.
+func (d *Dispatcher) finishDeclined(s link.Stream, head *wire.AttemptHead, end wire.AnswerEnd, deadline time.Time) {
+	d.count(end.Outcome)
+	if head.Idempotent {
+		if _, err := readBody(s, head, deadline); err != nil {
+			s.Reset()
+			return
+		}
+	}
+	newAnswerWriter(s, nil, head).finish(end)
+}
+
 // refuseForeign answers an attempt that an earlier process of this VM has
 // acknowledged. What that process did with it is not known here.
 func (d *Dispatcher) refuseForeign(s link.Stream, head *wire.AttemptHead, deadline time.Time) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -150,7 +150,8 @@
 		return nil, t, outcome.HasNotRun(outcome.ReasonUpstreamGone), false
 	}
 	now := time.Now()
-	if u.refusesForHealth(now, head) {
+	if !head.Insist && u.failing(now) {
+		// It began to fail after the head was looked at.
 		return nil, t, outcome.HasNotRun(outcome.ReasonUnhealthy), false
 	}
 	u.nextID++
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -238,38 +238,39 @@
 	if r != routeRelay {
 		a.in.paths.acked(a.u.Node, time.Since(sent))
 	}
-	if !a.rq.kind.Idempotent {
-		a.mayRun = true
-		if err := s.WriteFrame(wire.FrameEnd, nil); err != nil {
+	if !a.rq.kind.Idempotent && !ack.Declined {
+		if err := a.sendRest(s); err != nil {
 			return nil, err
 		}
 	}
 	return a.out.receive(s, a.rq)
 }
 
-// send writes the request. A request that may not run twice is sent without
-// its end, and the dispatcher does not run it before the end: as long as no
+// send writes the request. Of one that may not run twice only the head is sent:
+// the dispatcher runs nothing before the end of the request, so as long as no
 // acknowledgement has come, the request is known not to have run.
 func (a *attempt) send(s link.Stream) error {
 	head, err := wire.Encode(a.head)
 	if err != nil {
 		return err
 	}
+	if !a.rq.kind.Idempotent {
+		return s.WriteFrame(wire.FrameAttempt, head)
+	}
 	if err := s.BufferFrame(wire.FrameAttempt, head); err != nil {
 		return err
 	}
-	if a.rq.kind.Idempotent {
-		a.mayRun = true
-		if err := bufferChunks(s, a.rq.body); err != nil {
-			return err
-		}
-		return s.WriteFrame(wire.FrameEnd, nil)
-	}
-	// An empty data frame sends what is queued.
+	return a.sendRest(s)
+}
+
+// sendRest writes what follows the head, which lets the dispatcher run the
+// request.
+func (a *attempt) sendRest(s link.Stream) error {
+	a.mayRun = true
 	if err := bufferChunks(s, a.rq.body); err != nil {
 		return err
 	}
-	return s.WriteFrame(wire.FrameData, nil)
+	return s.WriteFrame(wire.FrameEnd, nil)
 }
 
 func bufferChunks(s link.Stream, b []byte) error {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -203,6 +203,7 @@
 			FailureDomain: u.FailureDomain,
 			Slots:         u.Slots,
 			InUse:         load.inUse,
+			Known:         load.known,
 			Queued:        load.queued(level),
 			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
 			Ejected:       u.Ejected,
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -74,11 +75,13 @@
 	// loaded says that an attempt loaded an upstream or met a lack of capacity.
 	loaded bool
 	runs   int // attempts that an upstream may have run
-	// unhealthy counts the attempts that upstreams refused since they fail their
-	// work.
-	unhealthy int
-	tried     []fleet.UpstreamID
-	trace     []AttemptTrace
+	// declined lists the upstreams that declined an attempt. They may be tried
+	// again by one that insists.
+	declined []fleet.UpstreamID
+	// noneLeft says that all upstreams that are left have declined.
+	noneLeft bool
+	tried    []fleet.UpstreamID
+	trace    []AttemptTrace
 }
 
 // run makes attempts until one settles the request.
@@ -110,18 +113,15 @@
 	}
 }
 
-// insistAfter is how many unhealthy upstreams may refuse a request before the
-// next one is asked to try. With fewer, a request would run at an unhealthy
-// upstream while healthy ones are left; with more, one that no upstream is
-// healthy for would go around longer.
+// insistAfter is how many upstreams may decline a request before the one that
+// is best by their answers has to take it. With fewer, a request would wait
+// while others have free slots; with more, it would go around for longer when
+// none has.
 const insistAfter = 3
 
 // countRun counts what an attempt that ended with e did at its upstream.
 func (s *serving) countRun(e outcome.Ended) {
 	s.loaded = s.loaded || e.Loaded()
-	if e.Reason == outcome.ReasonUnhealthy {
-		s.unhealthy++
-	}
 	if e.Outcome != outcome.NotRun {
 		s.runs++
 	}
@@ -199,7 +199,6 @@
 	}
 	s.attempts++
 	s.in.stats.attempts.Add(1)
-	s.tried = append(s.tried, u.ID)
 	s.out.retryStatus = s.rq.kind.Idempotent && s.runs+1 < cmp.Or(s.rq.kind.MaxAttempts, retry.MaxRuns)
 	a := &attempt{
 		in:   s.in,
@@ -212,16 +211,32 @@
 	if a.head.RemainingMs <= 0 {
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
-	a.head.Insist = s.unhealthy >= insistAfter
+	a.head.Insist = s.insists()
 	entry := s.in.loads.entry(u.ID)
 	entry.begin()
 	e, load := a.run(ctx)
 	entry.finish(load, time.Now())
 	e = s.fence(ctx, a, e)
+	if e.Declined() {
+		s.declined = append(s.declined, u.ID)
+	} else {
+		s.tried = append(s.tried, u.ID)
+	}
 	s.trace = append(s.trace, AttemptTrace{u.ID, u.Node, time.Since(now), e.Outcome.String(), string(e.Reason)})
 	return e, true
 }
 
+// insists reports whether the next attempt is to be taken in any case.
+func (s *serving) insists() bool { return s.noneLeft || len(s.declined) >= insistAfter }
+
+// avoided returns the upstreams that the next attempt leaves out.
+func (s *serving) avoided() []fleet.UpstreamID {
+	if s.insists() {
+		return s.tried
+	}
+	return slices.Concat(s.tried, s.declined)
+}
+
 // pick chooses an upstream. Upstreams whose queue refuses such work are left
 // out, so that an overload is refused here at no cost to the slots.
 func (s *serving) pick(now time.Time) (*board.Upstream, outcome.Reason) {
@@ -232,13 +247,20 @@
 		Level:         s.rq.level,
 		Idempotent:    s.rq.kind.Idempotent,
 		Key:           s.rq.key,
-		Tried:         s.tried,
+		Tried:         s.avoided(),
 		CrossAllowed:  true,
+		Settled:       s.insists(),
 	}
 	reason := outcome.ReasonNoUpstream
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for {
 		i, ok := balance.Pick(r, req, candidates)
+		if !ok && len(s.declined) > 0 && !req.Settled {
+			// Fewer upstreams are left than may decline.
+			s.noneLeft = true
+			req.Tried, req.Settled = s.tried, true
+			continue
+		}
 		if !ok {
 			return nil, reason
 		}
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -25,6 +25,7 @@
 	suspect   bool
 	threshold admission.Threshold
 	at        time.Time
+	known     bool // from a report that is still believed
 }
 
 // loadTable holds the load of upstreams as answers reported it, plus the
@@ -71,6 +72,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.reported
+	l.known = true
 	age := now.Sub(l.at)
 	if age > loadFresh {
 		return load{inUse: e.pending, threshold: admission.AdmitAll()}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -58,6 +58,7 @@
 	ReasonDeadline        Reason = "deadline"          // the deadline could not be met
 	ReasonPathDown        Reason = "path-down"         // the dispatcher could not be reached
 	ReasonConnect         Reason = "connect-failed"    // no connection to the upstream
+	ReasonBusy            Reason = "busy"              // no slot of the upstream is free
 	ReasonUnhealthy       Reason = "unhealthy"         // the upstream fails its work at present
 	ReasonUpstreamShed    Reason = "upstream-shed"     // the upstream refused the work before running it
 	ReasonFenced          Reason = "fenced"            // a fence for the key came before the claim
@@ -121,8 +122,14 @@
 	switch {
 	case e.Outcome != NotRun:
 		return true
-	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect, e.Reason == ReasonUnhealthy:
+	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect, e.Declined():
 		return false
 	}
 	return true
 }
+
+// Declined reports whether a dispatcher turned the attempt down because another
+// upstream may serve it better. It would have taken an attempt that insists.
+func (e Ended) Declined() bool {
+	return e.Outcome == NotRun && (e.Reason == ReasonBusy || e.Reason == ReasonUnhealthy)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -92,8 +92,8 @@
 	// Origin is the service of the VM where the request came in, if the
 	// upstreams are told.
 	Origin string `cbor:"18,keyasint,omitempty"`
-	// Insist asks an upstream that fails its work at present to try all the
-	// same, since others have refused.
+	// Insist asks an upstream that is busy, or fails its work at present, to
+	// take the attempt all the same, since others have declined it.
 	Insist bool `cbor:"19,keyasint,omitempty"`
 }
 
@@ -102,6 +102,9 @@
 	// Lifetime identifies the process of the dispatcher among those that have
 	// run on its VM.
 	Lifetime uint64 `cbor:"1,keyasint"`
+	// Declined says that the attempt is not taken. AnswerEnd follows at once,
+	// and a body that has not been sent yet is not expected.
+	Declined bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Remaining returns the time left to the deadline.
