Prefer upstreams with fresh evidence for requests that run once

Evidence was the end of earlier runs: 0.3 to 0.4 s old when it came, and about as old again at use.

Change: evidence counts from the start of a run, and a run that has not failed within 50 ms counts as a success already (not after failures that came late). An upstream that has failed within 30 s and has no evidence younger than about 0.3 s declines non-idempotent requests; after three declines the one with the least risk and wait takes them. Retries keep to an allowance of the fleet (-retry-ratio, -retry-slack) that is shared by its live nodes; a retry that is declined is not charged twice. Summaries stay in the region.

Ruled out: counting only the retries of idempotent requests towards the allowance; what matters is repeated arrivals, also after a shed one.

Tests: TestFleetLimits, TestGraySlowSuccess, TestGrayFollowsFailures.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,8 +25,10 @@
 	// Queued is how many requests wait at its dispatcher ahead of one of this
 	// rank, as last reported; see admission.Queue.Ahead.
 	Queued int
-	// Known says that the load was reported a short while ago.
-	Known    bool
+	// Known says that load and Failing were reported a short while ago.
+	Known bool
+	// Failing is the probability that it fails the request.
+	Failing  float64
 	Suspect  bool
 	Ejected  bool
 	Draining bool
@@ -52,7 +54,8 @@
 	// lacks healthy capacity.
 	CrossAllowed bool
 	// Settled says that the loads of several candidates have just been reported.
-	// Of these, the least loaded of the best tier is taken, without a draw.
+	// Of these, the one with the least cost of the best tier is taken, without
+	// a draw.
 	Settled bool
 }
 
@@ -112,7 +115,7 @@
 			continue
 		}
 		if req.Settled {
-			return leastLoaded(candidates, indexes), true
+			return leastCost(&req, candidates, indexes), true
 		}
 		if req.Key != "" {
 			return preferred(req.Key, candidates, indexes), true
@@ -198,10 +201,30 @@
 	return best
 }
 
-// leastLoaded returns the candidate with the lowest load.
-func leastLoaded(candidates []Candidate, indexes []int) int {
+const (
+	// failingCost and failingCostOnce weigh a sure failure against a round of
+	// work in the queue, for requests that can be run elsewhere after it, and
+	// for others.
+	failingCost     = 1.0
+	failingCostOnce = 5.0
+)
+
+// leastCost returns the candidate with the lowest sum of the wait for a slot and
+// the risk of a failure.
+func leastCost(req *Request, candidates []Candidate, indexes []int) int {
+	weight := failingCostOnce
+	if req.Idempotent {
+		weight = failingCost
+	}
+	cost := func(c *Candidate) float64 {
+		wait := 0.0
+		if !free(c) {
+			wait = load(c)
+		}
+		return wait + weight*c.Failing
+	}
 	return slices.MinFunc(indexes, func(a, b int) int {
-		return cmp.Compare(load(&candidates[a]), load(&candidates[b]))
+		return cmp.Compare(cost(&candidates[a]), cost(&candidates[b]))
 	})
 }
 
--- a/board/evidence.go
+++ b/board/evidence.go
@@ -171,13 +171,14 @@
 }
 
 // aggregator returns the node that pools the summaries of a service: the one
-// with the highest hash among the live nodes that host its upstreams.
+// with the highest hash among the live nodes of the region that host its
+// upstreams. Summaries do not cross regions, whose links are narrow.
 // Membership spreads which these are, so that no agreement is needed; two
 // aggregators for a while only make each baseline narrower.
 func (s *State) aggregator(service string) *fleet.Node {
 	best, bestHash := &s.Self, hashPair(service, s.Self.ID)
 	for id, n := range s.Nodes {
-		if n.State != fleet.NodeAlive || !hosts(&n, service) {
+		if n.State != fleet.NodeAlive || n.Region != s.Self.Region || !hosts(&n, service) {
 			continue
 		}
 		if h := hashPair(service, id); h > bestHash {
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -55,7 +55,7 @@
 		u.probedAt = now
 		head.Insist = true
 		return outcome.ReasonNone
-	case u.failing(now):
+	case u.failing(now), !head.Idempotent && u.gray.Doubtful(now):
 		return outcome.ReasonUnhealthy
 	case u.inUse >= u.slots:
 		return outcome.ReasonBusy
@@ -66,16 +66,19 @@
 // failing reports whether the upstream fails its work. u.mu is held.
 func (u *upstream) failing(now time.Time) bool { return u.gray.Failing(now) >= grayThreshold }
 
-// learn takes in how the upstream dealt with an attempt. Attempts that wait at
-// one that has begun to fail are sent elsewhere.
-func (u *upstream) learn(now time.Time, failed bool) {
+// learn takes in how the upstream dealt with an attempt that was sent at start.
+// Attempts that wait at one that has begun to fail are sent elsewhere.
+func (u *upstream) learn(start, now time.Time, failed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.gray.Observe(now, failed)
+	u.gray.Observe(start, failed)
 	if !failed {
 		return
 	}
 	u.probedAt = now
+	if now.Sub(start) > survivalTime {
+		u.slowFailureAt = now
+	}
 	if !u.failing(now) {
 		return
 	}
@@ -87,6 +90,28 @@
 	}
 }
 
+const (
+	// survivalTime is how long a request has to run without failing to count as
+	// a success: upstreams that fail their work do so at once. The evidence is
+	// then younger by the rest of the run.
+	survivalTime = 50 * time.Millisecond
+	// slowFailureMemory is how long survival counts for nothing after a failure
+	// that came later than survivalTime.
+	slowFailureMemory = 20 * time.Second
+)
+
+// watchSurvival takes it for a success if a request that was sent at start has
+// not failed after survivalTime. The returned function ends the watch.
+func (u *upstream) watchSurvival(start time.Time) (stop func() bool) {
+	return time.AfterFunc(survivalTime, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if time.Since(u.slowFailureAt) > slowFailureMemory {
+			u.gray.Observe(start, false)
+		}
+	}).Stop
+}
+
 // evidence reports whether the result of an attempt tells of the health of its
 // upstream, and whether it failed. A timeout tells only if the attempt had the
 // time that its kind is meant to take.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -72,7 +72,9 @@
 		return ended(u, outcome.HasNotRun(outcome.ReasonDraining))
 	}
 	began := time.Now()
+	stopWatch := u.watchSurvival(began)
 	e, result := d.exchange(a, u, head, body, w)
+	stopWatch()
 	service := time.Since(began)
 	if result == ResultBroken && d.checkCrash(u) {
 		// A crash shows by itself; it is no sign of a gray failure.
@@ -82,7 +84,7 @@
 		d.cfg.Crashes.Completed(head.Fingerprint)
 	}
 	if failed, tells := d.evidence(head, result, service); tells {
-		u.learn(time.Now(), failed)
+		u.learn(began, time.Now(), failed)
 	}
 	u.release(ticket, max(service, 1))
 	c.finish(e, a)
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -51,6 +51,8 @@
 	// is when it last failed or got a request to find out.
 	gray     health.Gray
 	probedAt time.Time
+	// slowFailureAt is when a request last failed after survivalTime.
+	slowFailureAt time.Time
 }
 
 const grayThreshold = health.GrayFailing
@@ -255,6 +257,8 @@
 		ShedShare:  threshold.Share,
 		Refused:    threshold.Refused,
 		Suspect:    u.suspect || u.failing(now),
+
+		FailingPercent: int(100 * u.gray.Failing(now)),
 	}
 }
 
--- a/health/gray.go
+++ b/health/gray.go
@@ -17,6 +17,8 @@
 type Gray struct {
 	odds float64 // probability of failing at the time at; valid if at is set
 	at   time.Time
+	// failedAt is the start of the latest request that failed.
+	failedAt time.Time
 }
 
 const (
@@ -30,6 +32,10 @@
 	grayFailures      = 0.6
 	// GrayFailing is the probability from which an upstream is held to fail.
 	GrayFailing = 0.5
+	// grayDoubtful is the probability from which an upstream is doubtful.
+	grayDoubtful = 0.04
+	// grayMemory is how long an upstream that has failed may be doubtful.
+	grayMemory = 30 * time.Second
 	// grayMax bounds the probability, so that a few successes clear an upstream
 	// however often it failed.
 	grayMax = 0.97
@@ -47,13 +53,31 @@
 	return grayUsual + (g.odds-grayUsual)*math.Exp(-age*(grayOnset+grayRecovery))
 }
 
-// Observe takes in the result of a request that ended at now.
-func (g *Gray) Observe(now time.Time, failed bool) {
-	prior := g.Failing(now)
+// Doubtful reports whether the upstream is not the best choice for a request
+// that cannot be run again elsewhere: it has failed lately, and there is no
+// fresh evidence that it is sound.
+func (g *Gray) Doubtful(now time.Time) bool {
+	return !g.failedAt.IsZero() && now.Sub(g.failedAt) < grayMemory && g.Failing(now) >= grayDoubtful
+}
+
+// Observe takes in the result of a request that was started at start: whether
+// an upstream fails a request is settled when it takes it up. A success that
+// started before the latest evidence says nothing new.
+func (g *Gray) Observe(start time.Time, failed bool) {
+	if start.Before(g.at) {
+		if !failed {
+			return
+		}
+		start = g.at
+	}
+	prior := g.Failing(start)
 	failing, sound := 1-grayFailures, 1-graySoundFailures
 	if failed {
 		failing, sound = grayFailures, graySoundFailures
 	}
 	g.odds = min(grayMax, prior*failing/(prior*failing+(1-prior)*sound))
-	g.at = now
+	g.at = start
+	if failed {
+		g.failedAt = start
+	}
 }
--- a/health/gray_test.go
+++ b/health/gray_test.go
@@ -17,6 +17,7 @@
 		g.Observe(now, false)
 	}
 	assert.Assert(t, g.Failing(now) < 0.01)
+	assert.Assert(t, !g.Doubtful(now.Add(time.Minute)), "it has never failed")
 	// An upstream that was sound a second ago.
 	now = now.Add(time.Second)
 	g.Observe(now, true)
@@ -28,6 +29,12 @@
 		g.Observe(now, false)
 	}
 	assert.Assert(t, g.Failing(now) < GrayFailing)
+	assert.Assert(t, g.Doubtful(now))
+	for range 8 {
+		g.Observe(now, false)
+	}
+	assert.Assert(t, !g.Doubtful(now))
+	assert.Assert(t, g.Doubtful(now.Add(2*time.Second)), "the evidence is old")
 }
 
 // Guards against a clock that goes back and gives a probability out of range.
@@ -38,3 +45,16 @@
 	p := g.Failing(now.Add(-time.Hour))
 	assert.Assert(t, p > 0 && p < 1)
 }
+
+// Guards against a slow success, taken up before an upstream began to fail,
+// that clears it.
+func TestGraySlowSuccess(t *testing.T) {
+	var g Gray
+	now := time.Unix(1000, 0)
+	g.Observe(now, true)
+	before := g.Failing(now)
+	g.Observe(now.Add(-400*time.Millisecond), false)
+	assert.Equal(t, g.Failing(now), before)
+	g.Observe(now.Add(-400*time.Millisecond), true)
+	assert.Assert(t, g.Failing(now) >= before)
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -39,6 +39,9 @@
 	// Origin is the service of this VM, if upstreams are told where requests
 	// came in.
 	Origin string
+	// RetryLimits returns the limits of the retry budget of each service. Nil:
+	// those of package retry.
+	RetryLimits func() retry.Limits
 	// LameDuck says that requests are served while the node leaves, until its
 	// listener is closed. Otherwise they are refused.
 	LameDuck bool
@@ -103,9 +106,13 @@
 	return b
 }
 
-func (b *lockedBudget) first(now time.Time) {
+// first counts a first attempt, and takes over the limits of the budget.
+func (b *lockedBudget) first(now time.Time, limits func() retry.Limits) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if limits != nil {
+		b.b.Limits = limits()
+	}
 	b.b.First(now)
 }
 
@@ -204,6 +211,7 @@
 			Slots:         u.Slots,
 			InUse:         load.inUse,
 			Known:         load.known,
+			Failing:       load.failing,
 			Queued:        load.queued(level),
 			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
 			Ejected:       u.Ejected,
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -72,9 +72,7 @@
 	rq       *request
 	out      *answer
 	attempts int
-	// loaded says that an attempt loaded an upstream or met a lack of capacity.
-	loaded bool
-	runs   int // attempts that an upstream may have run
+	runs     int // attempts that an upstream may have run
 	// declined lists the upstreams that declined an attempt. They may be tried
 	// again by one that insists.
 	declined []fleet.UpstreamID
@@ -87,7 +85,7 @@
 // run makes attempts until one settles the request.
 func (s *serving) run(ctx context.Context) outcome.Ended {
 	budget := s.in.budget(s.rq.service.Name)
-	budget.first(time.Now())
+	budget.first(time.Now(), s.in.cfg.RetryLimits)
 	last := outcome.HasNotRun(outcome.ReasonNoUpstream)
 	mayHaveRun := false
 	for {
@@ -98,7 +96,9 @@
 			}
 			return last
 		}
-		s.countRun(e)
+		if e.Outcome != outcome.NotRun {
+			s.runs++
+		}
 		last = settle(last, e, mayHaveRun)
 		mayHaveRun = mayHaveRun || e.Outcome != outcome.NotRun
 		if s.waitForHolder(ctx, e) {
@@ -119,14 +119,6 @@
 // none has.
 const insistAfter = 3
 
-// countRun counts what an attempt that ended with e did at its upstream.
-func (s *serving) countRun(e outcome.Ended) {
-	s.loaded = s.loaded || e.Loaded()
-	if e.Outcome != outcome.NotRun {
-		s.runs++
-	}
-}
-
 // settle returns what is known of a request after its latest attempt ended
 // with e. A "not run" speaks of its own attempt only: once an earlier one may
 // have run, so may the request.
@@ -182,7 +174,7 @@
 		Ended:      e,
 		Idempotent: s.rq.kind.Idempotent,
 		Attempts:   s.attempts,
-		Free:       !s.loaded,
+		Free:       !e.Loaded(),
 		Runs:       s.runs,
 		MaxRuns:    s.rq.kind.MaxAttempts,
 		Deadline:   s.rq.deadline,
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -26,6 +26,8 @@
 	threshold admission.Threshold
 	at        time.Time
 	known     bool // from a report that is still believed
+	// failing is the probability that the upstream fails its work.
+	failing float64
 }
 
 // loadTable holds the load of upstreams as answers reported it, plus the
@@ -120,6 +122,7 @@
 		inUse:     l.SlotsInUse,
 		ahead:     l.Ahead,
 		suspect:   l.Suspect,
+		failing:   float64(l.FailingPercent) / 100,
 		threshold: l.Threshold(),
 		at:        now,
 	}
--- a/node/new.go
+++ b/node/new.go
@@ -17,6 +17,7 @@
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -116,9 +117,22 @@
 		Callers:  n.options.Callers,
 		Origin:   n.set.OriginService,
 		LameDuck: n.set.LameDuck > 0,
+
+		RetryLimits: n.retryLimits(),
 	})
 }
 
+// retryLimits returns this node's part of the fleet's retries; nil if the
+// settings state no allowance of the fleet.
+func (n *Node) retryLimits() func() retry.Limits {
+	if n.set.RetryRatio == 0 {
+		return nil
+	}
+	return func() retry.Limits {
+		return retry.FleetLimits(n.set.RetryRatio, n.set.RetrySlack, len(n.board.View().Nodes)+1)
+	}
+}
+
 func (n *Node) listen(log *slog.Logger) error {
 	var err error
 	if n.callerLn, err = net.Listen("tcp", n.set.CallerAddr); err != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -35,6 +35,10 @@
 	LinkTransport string `flag:"link-transport" usage:"transport between nodes" range:"tls or quic" validate:"oneof=tls quic"`
 	LinkConns     int    `flag:"link-conns" usage:"QUIC connections to each peer" range:"1 to 64" validate:"min=1,max=64"`
 
+	// The allowance of the fleet is shared among its nodes.
+	RetryRatio float64 `flag:"retry-ratio" usage:"retries of a service per request, over the fleet in 10 s; 0: a fixed budget of each node" range:"0 to 1" validate:"min=0,max=1"`
+	RetrySlack float64 `flag:"retry-slack" usage:"retries of a service beyond retry-ratio, over the fleet in 10 s" validate:"min=0"`
+
 	LameDuck     time.Duration `flag:"lame-duck" usage:"how long the node goes on taking requests after it has begun to leave" range:"0s to 1h" validate:"min=0s,max=1h"`
 	DrainTimeout time.Duration `flag:"drain-timeout" usage:"longest wait for requests in flight at a planned stop" range:"1s to 1h" validate:"min=1s,max=1h"`
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -16,7 +16,7 @@
 	Window = 10 * time.Second
 	// Reserve is the number of retries allowed beyond Ratio, for services with
 	// few requests. One is restored every ReserveInterval.
-	Reserve = 1
+	Reserve = 3
 	// ReserveInterval is long enough that attempts stay under 1.2 per request
 	// in the long run from 0.2 requests/s on.
 	ReserveInterval = time.Minute
@@ -31,10 +31,32 @@
 	bucket  = Window / buckets
 )
 
+// Limits bound the retries of one service at one ingress within Window.
+type Limits struct {
+	Ratio   float64 // retries per first attempt
+	Reserve float64 // retries beyond Ratio
+}
+
+const (
+	// ratioShare and slackShare are the parts of the fleet's allowance that
+	// ingresses spend. The rest is for calls that repeated runs make: they count
+	// as repeats at the services that are called.
+	ratioShare = 0.3
+	slackShare = 0.75
+)
+
+// FleetLimits returns the limits of one of several ingresses, so that together
+// they keep within ratio retries per request and slack beyond, in any Window.
+func FleetLimits(ratio, slack float64, ingresses int) Limits {
+	return Limits{Ratio: ratioShare * ratio, Reserve: slackShare * slack / float64(max(ingresses, 1))}
+}
+
 // Budget limits the retries of one service at one ingress, so that retries
 // don't multiply the load when most attempts fail. The zero value is ready to
 // use. It is not safe for concurrent use.
 type Budget struct {
+	// Limits replace Ratio, Reserve and ReserveInterval unless they are zero.
+	Limits  Limits
 	counts  [buckets]counts
 	current int64 // number of the newest bucket, counted from the Unix epoch
 	firsts  int   // in the window
@@ -56,12 +78,17 @@
 // Allow reports whether the budget has a retry left, and counts it if so.
 func (b *Budget) Allow(now time.Time) bool {
 	b.advance(now)
-	if float64(b.retries+1) <= Ratio*float64(b.firsts) {
+	fixed := b.Limits != Limits{}
+	allowed := Ratio * float64(b.firsts)
+	if fixed {
+		allowed = b.Limits.Ratio*float64(b.firsts) + b.Limits.Reserve
+	}
+	if float64(b.retries+1) <= allowed {
 		b.counts[b.index()].retries++
 		b.retries++
 		return true
 	}
-	if b.used+1 > Reserve {
+	if fixed || b.used+1 > Reserve {
 		return false
 	}
 	b.used++
@@ -95,8 +122,9 @@
 	Ended      outcome.Ended
 	Idempotent bool
 	Attempts   int // made so far, with the one that ended
-	// Free says that no attempt so far loaded an upstream, nor was refused for
-	// lack of capacity. Another one then takes nothing from the budget.
+	// Free says that the latest attempt neither loaded an upstream nor was
+	// refused for lack of capacity. Another one then takes nothing from the
+	// budget: what earlier attempts cost has been taken already.
 	Free bool
 	// Runs is how many of the attempts an upstream may have run, and MaxRuns
 	// bounds it. 0: the constant MaxRuns.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -92,3 +92,23 @@
 	}
 	assert.Equal(t, Decide(start, &b, a), RefusedBudget)
 }
+
+// Guards against many ingresses that spend the allowance of the fleet several
+// times over.
+func TestFleetLimits(t *testing.T) {
+	const ingresses, ratio, slack = 25, 0.2, 62.0
+	spent, requests := 0, 0
+	for range ingresses {
+		b := Budget{Limits: FleetLimits(ratio, slack, ingresses)}
+		for i := range 40 {
+			now := start.Add(time.Duration(i) * Window / 40)
+			b.First(now)
+			requests++
+			for b.Allow(now) {
+				spent++
+			}
+		}
+	}
+	assert.Assert(t, spent >= ingresses, "%d", spent)
+	assert.Assert(t, float64(spent) <= ratio*float64(requests)+slack, "%d retries of %d requests", spent, requests)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -160,6 +160,9 @@
 	Ahead []LevelQueue `cbor:"8,keyasint,omitempty"`
 	// Suspect says that the dispatcher holds the upstream for unhealthy.
 	Suspect bool `cbor:"6,keyasint,omitempty"`
+	// FailingPercent is the probability that the upstream fails its work at
+	// present, in percent; see health.Gray.
+	FailingPercent int `cbor:"9,keyasint,omitempty"`
 }
 
 // LevelQueue is the queue ahead of one rank level.
