Weigh failures above waits when every upstream is busy

All upstreams had declined, and the settled choice went to the one with the least load: the one that fails at once and so always has free slots.

Change: a settled choice adds up the wait in rounds of work, the risk (four rounds for a sure failure, eight for a request that runs once) and the way to another region, over all tiers. Calls of repeated runs are charged to the budgets of other services on their VM, and the shares of the allowance that ingresses spend go from 0.3 and 0.75 to 0.6 and 0.6.

Ruled out, tried and taken back: admission by the latency objective (a wait of at most 0.8 of the slack to it).

Tests: TestSettledChoice, TestCharge.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,7 +4,7 @@
 package balance
 
 import (
-	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -54,8 +54,7 @@
 	// lacks healthy capacity.
 	CrossAllowed bool
 	// Settled says that the loads of several candidates have just been reported.
-	// Of these, the one with the least cost of the best tier is taken, without
-	// a draw.
+	// Of these, the one with the least cost is taken, without a draw.
 	Settled bool
 }
 
@@ -95,8 +94,10 @@
 // Pick returns the index of the candidate that the next attempt goes to. ok is
 // false if no candidate may take the request.
 func Pick(r *rand.Rand, req Request, candidates []Candidate) (index int, ok bool) {
-	if req.Settled && !slices.ContainsFunc(candidates, func(c Candidate) bool { return usable(&req, &c) && c.Known }) {
-		req.Settled = false
+	if req.Settled {
+		if i, ok := settled(&req, candidates); ok {
+			return i, true
+		}
 	}
 	var tiers [tierUnusable][]int
 	for i := range candidates {
@@ -114,9 +115,6 @@
 		if len(indexes) == 0 {
 			continue
 		}
-		if req.Settled {
-			return leastCost(&req, candidates, indexes), true
-		}
 		if req.Key != "" {
 			return preferred(req.Key, candidates, indexes), true
 		}
@@ -125,14 +123,10 @@
 	return 0, false
 }
 
-func usable(req *Request, c *Candidate) bool {
-	return !c.Draining && !c.Ejected && c.Slots > 0 && !slices.Contains(req.Tried, c.Upstream)
-}
-
 func tierOf(req *Request, c *Candidate) tier {
 	home := c.Region == req.Region
 	switch {
-	case !usable(req, c), req.Settled && !c.Known:
+	case c.Draining, c.Ejected, c.Slots <= 0, slices.Contains(req.Tried, c.Upstream):
 		return tierUnusable
 	case !home && !req.CrossAllowed:
 		return tierUnusable
@@ -201,31 +195,45 @@
 	return best
 }
 
+// Costs of a settled choice, in rounds of work in the queue.
 const (
-	// failingCost and failingCostOnce weigh a sure failure against a round of
-	// work in the queue, for requests that can be run elsewhere after it, and
-	// for others.
-	failingCost     = 1.0
-	failingCostOnce = 5.0
+	// failingCost and failingCostOnce weigh a sure failure, for requests that
+	// can be run elsewhere after it, and for others. Upstreams that fail do so
+	// fast and have free slots, and must not attract what healthy ones queue.
+	failingCost     = 4.0
+	failingCostOnce = 8.0
+	// crossingCost weighs the way to another region.
+	crossingCost = 1.0
 )
 
-// leastCost returns the candidate with the lowest sum of the wait for a slot and
-// the risk of a failure.
-func leastCost(req *Request, candidates []Candidate, indexes []int) int {
-	weight := failingCostOnce
+// settled returns the candidate with the lowest sum of the wait for a slot, the
+// risk of a failure and the way, among those whose load is known.
+func settled(req *Request, candidates []Candidate) (index int, ok bool) {
+	lowest := math.Inf(1)
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Known || tierOf(req, c) == tierUnusable {
+			continue
+		}
+		if cost := cost(req, c); cost < lowest {
+			index, ok, lowest = i, true, cost
+		}
+	}
+	return index, ok
+}
+
+func cost(req *Request, c *Candidate) float64 {
+	sum := failingCostOnce * c.Failing
 	if req.Idempotent {
-		weight = failingCost
+		sum = failingCost * c.Failing
 	}
-	cost := func(c *Candidate) float64 {
-		wait := 0.0
-		if !free(c) {
-			wait = load(c)
-		}
-		return wait + weight*c.Failing
+	if !free(c) {
+		sum += float64(c.InUse+c.Queued) / capacity(c)
+	}
+	if c.Region != req.Region {
+		sum += crossingCost
 	}
-	return slices.MinFunc(indexes, func(a, b int) int {
-		return cmp.Compare(cost(&candidates[a]), cost(&candidates[b]))
-	})
+	return sum
 }
 
 // lessLoaded draws two candidates by capacity and returns the one with the
--- /dev/null
+++ b/balance/settled_test.go
@@ -0,0 +1,37 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/fleet"
+)
+
+// Guards against work that an overloaded fleet sends to an upstream which fails
+// fast and so always has free slots. Load: all healthy upstreams of the region
+// are full with up to two rounds of work queued.
+func TestSettledChoice(t *testing.T) {
+	region := "r"
+	candidates := []Candidate{
+		{Upstream: "failing", Region: region, Slots: 3, Known: true, Failing: 0.9, Suspect: true},
+		{Upstream: "longer", Region: region, Slots: 3, InUse: 3, Queued: 6, Known: true, Failing: 0.02},
+		{Upstream: "shorter", Region: region, Slots: 3, InUse: 3, Queued: 3, Known: true, Failing: 0.02},
+		{Upstream: "unknown", Region: region, Slots: 3},
+		{Upstream: "remote", Region: "s", Slots: 3, InUse: 1, Known: true, Failing: 0.02},
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	pick := func(req Request) fleet.UpstreamID {
+		req.Region, req.Settled = region, true
+		i, ok := Pick(r, req, candidates)
+		assert.Assert(t, ok)
+		return candidates[i].Upstream
+	}
+	for _, idempotent := range []bool{false, true} {
+		assert.Equal(t, pick(Request{Idempotent: idempotent}), fleet.UpstreamID("shorter"))
+		assert.Equal(t, pick(Request{Idempotent: idempotent, CrossAllowed: true}), fleet.UpstreamID("remote"))
+	}
+	tried := []fleet.UpstreamID{"shorter", "longer"}
+	assert.Equal(t, pick(Request{Tried: tried}), fleet.UpstreamID("failing"))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,9 @@
 	Gone func(fleet.UpstreamID)
 	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
 	Crashes Crashes
+	// Repeated is told when an upstream runs a request of a service that may have
+	// run before. May be nil. It must not block.
+	Repeated func(service string)
 	// Upstreams is how upstreams are spoken to. Without a Refusal it is
 	// OwnProtocol.
 	Upstreams Protocol
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -71,6 +71,9 @@
 		c.abandon()
 		return ended(u, outcome.HasNotRun(outcome.ReasonDraining))
 	}
+	if head.Repeat && d.cfg.Repeated != nil {
+		d.cfg.Repeated(u.service)
+	}
 	began := time.Now()
 	stopWatch := u.watchSurvival(began)
 	e, result := d.exchange(a, u, head, body, w)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -116,6 +116,26 @@
 	b.b.First(now)
 }
 
+// ChargeCalls counts that an upstream of this VM runs a request of service once
+// more. The calls that it makes come in here and are repeats for the services
+// that they go to. Which these are is not known, so all others are charged.
+func (in *Ingress) ChargeCalls(service string) {
+	now := time.Now()
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for name, b := range in.budgets {
+		if name != service {
+			b.charge(now)
+		}
+	}
+}
+
+func (b *lockedBudget) charge(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.b.Charge(now)
+}
+
 // maxCallerLimits bounds the rate limiters kept. Limiters of callers seen
 // earlier are dropped beyond it and start anew.
 const maxCallerLimits = 100_000
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -203,7 +203,7 @@
 	if a.head.RemainingMs <= 0 {
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
-	a.head.Insist = s.insists()
+	a.head.Insist, a.head.Repeat = s.insists(), s.runs > 0
 	entry := s.in.loads.entry(u.ID)
 	entry.begin()
 	e, load := a.run(ctx)
--- a/node/new.go
+++ b/node/new.go
@@ -101,6 +101,7 @@
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
 		Upstreams:     n.options.Upstreams,
+		Repeated:      func(service string) { n.ingress.ChargeCalls(service) },
 	})
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -39,10 +39,10 @@
 
 const (
 	// ratioShare and slackShare are the parts of the fleet's allowance that
-	// ingresses spend. The rest is for calls that repeated runs make: they count
-	// as repeats at the services that are called.
-	ratioShare = 0.3
-	slackShare = 0.75
+	// ingresses spend. The rest is for calls that repeated runs make after the
+	// budget of the called service is used up; see Charge.
+	ratioShare = 0.6
+	slackShare = 0.6
 )
 
 // FleetLimits returns the limits of one of several ingresses, so that together
@@ -75,6 +75,14 @@
 	b.firsts++
 }
 
+// Charge counts a retry that is made whatever the budget says: a call of a
+// repeated run, which is a repeat for the service that is called.
+func (b *Budget) Charge(now time.Time) {
+	b.advance(now)
+	b.counts[b.index()].retries++
+	b.retries++
+}
+
 // Allow reports whether the budget has a retry left, and counts it if so.
 func (b *Budget) Allow(now time.Time) bool {
 	b.advance(now)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -112,3 +112,12 @@
 	assert.Assert(t, spent >= ingresses, "%d", spent)
 	assert.Assert(t, float64(spent) <= ratio*float64(requests)+slack, "%d retries of %d requests", spent, requests)
 }
+
+// Guards against a budget that forgets the calls of repeated runs.
+func TestCharge(t *testing.T) {
+	b := Budget{Limits: Limits{Reserve: 2}}
+	b.Charge(start)
+	assert.Assert(t, b.Allow(start))
+	assert.Assert(t, !b.Allow(start))
+	assert.Assert(t, b.Allow(start.Add(2*Window)))
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -95,6 +95,8 @@
 	// Insist asks an upstream that is busy, or fails its work at present, to
 	// take the attempt all the same, since others have declined it.
 	Insist bool `cbor:"19,keyasint,omitempty"`
+	// Repeat says that an upstream may have run the request already.
+	Repeat bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
