Probe failing upstreams less often, and spare the last run of a request

Cause: two findings from the logs.

Change: an attempt says whether another run can follow (LastRun); those that cannot go to upstreams with fresh evidence like non-idempotent ones. The filter expects failing phases of nine seconds in thirty; probes start a second after the first failure and back off to 2.5 s, and follow each other at once after a success. The dispatcher's log line tells queued and served times apart.

Tests: TestFailingUpstreamGetsProbesOnly, TestRecoveredUpstreamReturns, TestBusyUpstreamDeclines.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -45,6 +45,8 @@
 	FailureDomain string // of the ingress
 	Level         int    // rank, 0 is the most urgent
 	Idempotent    bool
+	// LastRun says that no other run follows if this one fails.
+	LastRun bool
 	// Key makes resends of a request prefer the same upstreams in the same
 	// order. Empty: two random candidates are compared by load.
 	Key string
@@ -162,7 +164,7 @@
 // pickSuspect sends a part of the work that a suspect would get if it were
 // healthy.
 func pickSuspect(r *rand.Rand, req *Request, candidates []Candidate, healthy, suspects []int) (int, bool) {
-	if len(suspects) == 0 || !req.Idempotent || req.Level == 0 {
+	if len(suspects) == 0 || req.LastRun || !req.Idempotent || req.Level == 0 {
 		return 0, false
 	}
 	suspect, total := 0.0, 0.0
@@ -197,11 +199,11 @@
 
 // Costs of a settled choice, in rounds of work in the queue.
 const (
-	// failingCost and failingCostOnce weigh a sure failure, for requests that
+	// failingCost and failingCostLast weigh a sure failure, for requests that
 	// can be run elsewhere after it, and for others. Upstreams that fail do so
 	// fast and have free slots, and must not attract what healthy ones queue.
 	failingCost     = 4.0
-	failingCostOnce = 8.0
+	failingCostLast = 8.0
 	// crossingCost weighs the way to another region.
 	crossingCost = 1.0
 )
@@ -223,9 +225,9 @@
 }
 
 func cost(req *Request, c *Candidate) float64 {
-	sum := failingCostOnce * c.Failing
-	if req.Idempotent {
-		sum = failingCost * c.Failing
+	sum := failingCost * c.Failing
+	if req.LastRun {
+		sum = failingCostLast * c.Failing
 	}
 	if !free(c) {
 		sum += float64(c.InUse+c.Queued) / capacity(c)
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -8,11 +8,16 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-// probeInterval is the time between requests that an upstream gets while it
-// fails its work, to find out whether it has recovered. Only idempotent ones
-// serve as probes: if it still fails they run elsewhere, within the retry
-// budget.
-const probeInterval = time.Second
+// An upstream gets single requests while it fails its work, to find out whether
+// it has recovered. Only those serve as probes that can be run elsewhere if it
+// still fails. After one that succeeds the next follows at once.
+const (
+	// minProbeInterval follows the first failure. The interval grows by
+	// probeBackoff with each probe that fails, up to maxProbeInterval.
+	minProbeInterval = time.Second
+	maxProbeInterval = 2500 * time.Millisecond
+	probeBackoff     = 1.4
+)
 
 // place is an attempt that waits for a slot.
 type place struct {
@@ -51,11 +56,11 @@
 		return outcome.ReasonUpstreamGone
 	case head.Insist:
 		return outcome.ReasonNone
-	case u.failing(now) && head.Idempotent && now.Sub(u.probedAt) >= probeInterval:
-		u.probedAt = now
+	case u.failing(now) && !head.LastRun && !now.Before(u.nextProbe):
+		u.putOffProbe(now)
 		head.Insist = true
 		return outcome.ReasonNone
-	case u.failing(now), !head.Idempotent && u.gray.Doubtful(now):
+	case u.failing(now), head.LastRun && u.gray.Doubtful(now):
 		return outcome.ReasonUnhealthy
 	case u.inUse >= u.slots:
 		return outcome.ReasonBusy
@@ -71,11 +76,18 @@
 func (u *upstream) learn(start, now time.Time, failed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	before := u.failing(now)
 	u.gray.Observe(start, failed)
-	if !failed {
+	switch {
+	case !failed:
+		u.nextProbe = now
 		return
+	case !before:
+		u.probeInterval = minProbeInterval
+		u.nextProbe = now.Add(minProbeInterval)
+	case !now.Before(u.nextProbe):
+		u.putOffProbe(now)
 	}
-	u.probedAt = now
 	if now.Sub(start) > survivalTime {
 		u.slowFailureAt = now
 	}
@@ -90,6 +102,13 @@
 	}
 }
 
+// putOffProbe sets the time of the next probe and lengthens the interval. u.mu
+// is held.
+func (u *upstream) putOffProbe(now time.Time) {
+	u.nextProbe = now.Add(u.probeInterval)
+	u.probeInterval = min(time.Duration(probeBackoff*float64(u.probeInterval)), maxProbeInterval)
+}
+
 const (
 	// survivalTime is how long a request has to run without failing to count as
 	// a success: upstreams that fail their work do so at once. The evidence is
--- /dev/null
+++ b/dispatch/gray_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+func grayUpstream() (*upstream, time.Time) {
+	now := time.Unix(1_700_000_000, 0)
+	return newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", Slots: 2}, now), now
+}
+
+// Guards against an upstream that fails its work for seconds and goes on getting
+// requests that run once, or all the probes that come.
+func TestFailingUpstreamGetsProbesOnly(t *testing.T) {
+	u, now := grayUpstream()
+	u.slots = 2
+	once, again := &wire.AttemptHead{LastRun: true}, &wire.AttemptHead{Idempotent: true}
+	assert.Equal(t, u.decline(now, once), outcome.ReasonNone)
+	u.learn(now, now, true)
+	probes := 0
+	for i := range 100 {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		assert.Equal(t, u.decline(at, once), outcome.ReasonUnhealthy)
+		head := *again
+		if u.decline(at, &head) == outcome.ReasonNone {
+			probes++
+			assert.Assert(t, head.Insist, "a probe is taken in any case")
+			u.learn(at, at, true)
+		}
+	}
+	assert.Assert(t, probes >= 4 && probes <= 8, "%d probes in 10 s", probes)
+	assert.Equal(t, u.decline(now, &wire.AttemptHead{LastRun: true, Insist: true}), outcome.ReasonNone)
+}
+
+// Guards against an upstream that stays out for long after it has recovered:
+// each probe that succeeds is followed by the next at once.
+func TestRecoveredUpstreamReturns(t *testing.T) {
+	u, now := grayUpstream()
+	u.slots = 2
+	for range 3 {
+		u.learn(now, now, true)
+	}
+	at := now.Add(minProbeInterval)
+	for n := 0; u.failing(at); n++ {
+		assert.Assert(t, n < 5)
+		assert.Equal(t, u.decline(at, &wire.AttemptHead{Idempotent: true}), outcome.ReasonNone)
+		u.learn(at, at, false)
+	}
+}
+
+// Guards against work that queues at an upstream without a free slot while the
+// ingress could still ask others. Load: all slots of the upstream are in use.
+func TestBusyUpstreamDeclines(t *testing.T) {
+	u, now := grayUpstream()
+	u.slots, u.inUse = 2, 2
+	assert.Equal(t, u.decline(now, &wire.AttemptHead{}), outcome.ReasonBusy)
+	assert.Equal(t, u.decline(now, &wire.AttemptHead{Insist: true}), outcome.ReasonNone)
+	u.inUse = 1
+	assert.Equal(t, u.decline(now, &wire.AttemptHead{}), outcome.ReasonNone)
+	u.draining = true
+	assert.Equal(t, u.decline(now, &wire.AttemptHead{Insist: true}), outcome.ReasonDraining)
+}
--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -33,6 +33,10 @@
 	// not to the stream that came first, which may break.
 	claim *claim
 
+	// queued and served are how long it waited for a slot and held one. They
+	// belong to the goroutine that runs it.
+	queued, served time.Duration
+
 	mu       sync.Mutex
 	attached int
 	started  bool
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -54,7 +54,9 @@
 		c.abandon()
 		return ended(u, outcome.HasNotRun(outcome.ReasonCrashing))
 	}
+	offered := time.Now()
 	ticket, e, ok := u.acquire(a.ctx, d.ticket(a, head), head)
+	a.queued = time.Since(offered)
 	if !ok {
 		c.abandon()
 		return ended(u, e)
@@ -79,6 +81,7 @@
 	e, result := d.exchange(a, u, head, body, w)
 	stopWatch()
 	service := time.Since(began)
+	a.served = service
 	if result == ResultBroken && d.checkCrash(u) {
 		// A crash shows by itself; it is no sign of a gray failure.
 		result = ResultRefused
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -60,9 +60,8 @@
 	w := newAnswerWriter(s, a, head)
 	stop := d.watch(a, s)
 	w.keepAlive()
-	began := time.Now()
 	end = d.run(a, head, body, w)
-	d.logAttempt(head, &end, time.Since(began))
+	d.logAttempt(a, head, &end)
 	d.attempts.finish(a, end)
 	stop()
 	d.count(end.Outcome)
@@ -174,10 +173,10 @@
 }
 
 // logAttempt writes how an attempt ended, and the state of its upstream.
-func (d *Dispatcher) logAttempt(head *wire.AttemptHead, end *wire.AnswerEnd, took time.Duration) {
+func (d *Dispatcher) logAttempt(a *attempt, head *wire.AttemptHead, end *wire.AnswerEnd) {
 	d.log.Info("attempt ended",
 		"request", head.RequestID, "upstream", head.Upstream, "kind", head.Kind, "retry", head.Retry, "insist", head.Insist,
-		"outcome", end.Outcome.String(), "reason", string(end.Reason), "ms", took.Milliseconds(), "given_ms", head.RemainingMs,
+		"outcome", end.Outcome.String(), "reason", string(end.Reason), "queued_ms", a.queued.Milliseconds(), "served_ms", a.served.Milliseconds(), "given_ms", head.RemainingMs,
 		"in_use", end.Load.SlotsInUse, "slots", end.Load.Slots, "queued", end.Load.Queued, "suspect", end.Load.Suspect, "message", end.Message)
 }
 
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -47,10 +47,11 @@
 	running map[uint64]uint64
 	// levels are the rank levels that exist.
 	levels []int
-	// gray tells whether the upstream fails its work at present, and probedAt
-	// is when it last failed or got a request to find out.
-	gray     health.Gray
-	probedAt time.Time
+	// gray tells whether the upstream fails its work at present. If so, it gets
+	// a request to find out at nextProbe, and then every probeInterval.
+	gray          health.Gray
+	nextProbe     time.Time
+	probeInterval time.Duration
 	// slowFailureAt is when a request last failed after survivalTime.
 	slowFailureAt time.Time
 }
--- a/health/gray.go
+++ b/health/gray.go
@@ -24,16 +24,16 @@
 const (
 	// grayOnset and grayRecovery are the rates, per second, at which sound
 	// upstreams begin to fail and failing ones recover.
-	grayOnset    = 0.1
-	grayRecovery = 0.33
+	grayOnset    = 0.05
+	grayRecovery = 0.11
 	// graySoundFailures and grayFailures are the parts of requests that fail
 	// at a sound and at a failing upstream.
 	graySoundFailures = 0.02
-	grayFailures      = 0.6
+	grayFailures      = 0.7
 	// GrayFailing is the probability from which an upstream is held to fail.
 	GrayFailing = 0.5
 	// grayDoubtful is the probability from which an upstream is doubtful.
-	grayDoubtful = 0.04
+	grayDoubtful = 0.03
 	// grayMemory is how long an upstream that has failed may be doubtful.
 	grayMemory = 30 * time.Second
 	// grayMax bounds the probability, so that a few successes clear an upstream
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -130,6 +130,12 @@
 	}
 }
 
+func (b *lockedBudget) left(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Left(now)
+}
+
 func (b *lockedBudget) charge(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -176,7 +176,7 @@
 		Attempts:   s.attempts,
 		Free:       !e.Loaded(),
 		Runs:       s.runs,
-		MaxRuns:    s.rq.kind.MaxAttempts,
+		MaxRuns:    s.maxRuns(),
 		Deadline:   s.rq.deadline,
 	}) == retry.Allowed
 }
@@ -191,7 +191,7 @@
 	}
 	s.attempts++
 	s.in.stats.attempts.Add(1)
-	s.out.retryStatus = s.rq.kind.Idempotent && s.runs+1 < cmp.Or(s.rq.kind.MaxAttempts, retry.MaxRuns)
+	s.out.retryStatus = s.rq.kind.Idempotent && s.runs+1 < s.maxRuns()
 	a := &attempt{
 		in:   s.in,
 		rq:   s.rq,
@@ -203,7 +203,7 @@
 	if a.head.RemainingMs <= 0 {
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
-	a.head.Insist, a.head.Repeat = s.insists(), s.runs > 0
+	a.head.Insist, a.head.Repeat, a.head.LastRun = s.insists(), s.runs > 0, s.lastRun(now)
 	entry := s.in.loads.entry(u.ID)
 	entry.begin()
 	e, load := a.run(ctx)
@@ -218,6 +218,14 @@
 	return e, true
 }
 
+// maxRuns returns how many upstreams may run the request.
+func (s *serving) maxRuns() int { return cmp.Or(s.rq.kind.MaxAttempts, retry.MaxRuns) }
+
+// lastRun reports whether no other run follows if the next one fails.
+func (s *serving) lastRun(now time.Time) bool {
+	return !s.rq.kind.Idempotent || s.runs+1 >= s.maxRuns() || !s.in.budget(s.rq.service.Name).left(now)
+}
+
 // insists reports whether the next attempt is to be taken in any case.
 func (s *serving) insists() bool { return s.noneLeft || len(s.declined) >= insistAfter }
 
@@ -238,6 +246,7 @@
 		FailureDomain: s.v.Self.FailureDomain,
 		Level:         s.rq.level,
 		Idempotent:    s.rq.kind.Idempotent,
+		LastRun:       s.lastRun(now),
 		Key:           s.rq.key,
 		Tried:         s.avoided(),
 		CrossAllowed:  true,
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -86,23 +86,37 @@
 // Allow reports whether the budget has a retry left, and counts it if so.
 func (b *Budget) Allow(now time.Time) bool {
 	b.advance(now)
-	fixed := b.Limits != Limits{}
-	allowed := Ratio * float64(b.firsts)
-	if fixed {
-		allowed = b.Limits.Ratio*float64(b.firsts) + b.Limits.Reserve
-	}
-	if float64(b.retries+1) <= allowed {
+	switch {
+	case b.within():
 		b.counts[b.index()].retries++
 		b.retries++
 		return true
+	case b.reserveLeft():
+		b.used++
+		return true
 	}
-	if fixed || b.used+1 > Reserve {
-		return false
+	return false
+}
+
+// Left reports whether Allow would report true.
+func (b *Budget) Left(now time.Time) bool {
+	b.advance(now)
+	return b.within() || b.reserveLeft()
+}
+
+// within reports whether the window has room for a retry.
+func (b *Budget) within() bool {
+	allowed := Ratio * float64(b.firsts)
+	if b.Limits != (Limits{}) {
+		allowed = b.Limits.Ratio*float64(b.firsts) + b.Limits.Reserve
 	}
-	b.used++
-	return true
+	return float64(b.retries+1) <= allowed
 }
 
+// reserveLeft reports whether a budget without limits of its own has a part of
+// the reserve left.
+func (b *Budget) reserveLeft() bool { return b.Limits == (Limits{}) && b.used+1 <= Reserve }
+
 func (b *Budget) index() int { return int(b.current % buckets) }
 
 // advance drops the buckets that left the window and restores the reserve. A
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -117,7 +117,9 @@
 func TestCharge(t *testing.T) {
 	b := Budget{Limits: Limits{Reserve: 2}}
 	b.Charge(start)
+	assert.Assert(t, b.Left(start))
 	assert.Assert(t, b.Allow(start))
+	assert.Assert(t, !b.Left(start))
 	assert.Assert(t, !b.Allow(start))
 	assert.Assert(t, b.Allow(start.Add(2*Window)))
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -97,6 +97,9 @@
 	Insist bool `cbor:"19,keyasint,omitempty"`
 	// Repeat says that an upstream may have run the request already.
 	Repeat bool `cbor:"20,keyasint,omitempty"`
+	// LastRun says that no other run follows if this one fails: the request is
+	// not idempotent, has had its runs, or the retry budget is used up.
+	LastRun bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
