Leave other regions alone for a while after one has declined work

Change: after an upstream of another region has declined work of a service, an ingress asks other regions for it only after two seconds, or if nothing at home is left. Ruled out: the link's byte budget as the limit (it guards the link, not the price, and would also stop the answers).

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -53,6 +53,7 @@
 	log   *slog.Logger
 	loads *loadTable
 	paths *pathTable
+	cross *crossingTable
 	trace *traceLog
 
 	mu      sync.Mutex
@@ -88,6 +89,7 @@
 		log:     cfg.Log,
 		loads:   newLoadTable(),
 		paths:   newPathTable(),
+		cross:   newCrossingTable(),
 		trace:   newTraceLog(),
 		budgets: map[string]*lockedBudget{},
 		limits:  map[string]*callerLimit{},
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -211,6 +211,9 @@
 	e = s.fence(ctx, a, e)
 	if e.Declined() {
 		s.declined = append(s.declined, u.ID)
+		if u.Region != s.v.Self.Region {
+			s.in.cross.note(s.rq.service.Name, time.Now())
+		}
 	} else {
 		s.tried = append(s.tried, u.ID)
 	}
@@ -249,20 +252,24 @@
 		LastRun:       s.lastRun(now),
 		Key:           s.rq.key,
 		Tried:         s.avoided(),
-		CrossAllowed:  true,
+		CrossAllowed:  s.insists() || s.in.cross.open(s.rq.service.Name, now),
 		Settled:       s.insists(),
 	}
-	reason := outcome.ReasonNoUpstream
+	reason, overBytes := outcome.ReasonNoUpstream, false
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for {
 		i, ok := balance.Pick(r, req, candidates)
-		if !ok && len(s.declined) > 0 && !req.Settled {
+		switch {
+		case ok:
+		case len(s.declined) > 0 && !req.Settled:
 			// Fewer upstreams are left than may decline.
 			s.noneLeft = true
-			req.Tried, req.Settled = s.tried, true
+			req.Tried, req.Settled, req.CrossAllowed = s.tried, true, !overBytes
 			continue
-		}
-		if !ok {
+		case !req.CrossAllowed && !overBytes:
+			req.CrossAllowed = true
+			continue
+		default:
 			return nil, reason
 		}
 		u := &upstreams[i]
@@ -273,7 +280,7 @@
 			s.in.stats.shedEarly.Add(1)
 			req.Tried = append(req.Tried[:len(req.Tried):len(req.Tried)], u.ID)
 		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes):
-			reason = outcome.ReasonShed
+			reason, overBytes = outcome.ReasonShed, true
 			req.CrossAllowed = false
 		default:
 			return u, ""
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -141,6 +141,33 @@
 	}
 }
 
+// remoteBusy is how long an ingress keeps from asking the upstreams of a service
+// in other regions after one there has declined. Upstreams of a region fill up
+// together, and each question costs bytes on a narrow link.
+const remoteBusy = 2 * time.Second
+
+// crossingTable holds when other regions last declined work of a service.
+type crossingTable struct {
+	mu       sync.Mutex
+	declined map[string]time.Time // by service
+}
+
+func newCrossingTable() *crossingTable { return &crossingTable{declined: map[string]time.Time{}} }
+
+// note records that an upstream of another region has declined work.
+func (t *crossingTable) note(service string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.declined[service] = now
+}
+
+// open reports whether other regions may be asked.
+func (t *crossingTable) open(service string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.declined[service]) >= remoteBusy
+}
+
 // pathTable holds what this ingress knows of the paths to other nodes.
 type pathTable struct {
 	mu    sync.RWMutex
