--- a/admission/admission.go
+++ b/admission/admission.go
@@ -54,6 +54,15 @@
 	// use. The estimate is a mean, so a wait that fills the whole slack would
 	// miss the deadline about half of the time.
 	waitFraction = 0.5
+	// maxWaitFraction is the part of a ticket's slack that it waits at most. While
+	// more work comes than can be served, some of it has to go. Work that has
+	// waited for long would be late for its caller, and a refusal is worth more
+	// to the caller the earlier it comes.
+	maxWaitFraction = 0.5
+	// shortWait is a wait that any ticket may use up to its whole slack. Calls
+	// between services have short deadlines, and the request that makes one fails
+	// with it.
+	shortWait = 500 * time.Millisecond
 	// usageWindow averages the slot time that each rank uses.
 	usageWindow = 2 * time.Second
 	// costGain is the weight of a new service time in the moving averages.
@@ -80,7 +89,7 @@
 		o.MaxLength = defaultMaxLength
 	}
 	q := &Queue{options: o, entries: map[uint64]*entry{}}
-	q.expiry = newEntryHeap(byLatestStart, expirySlot)
+	q.expiry = newEntryHeap(byGiveUp, expirySlot)
 	q.SetSlots(o.Slots)
 	return q
 }
@@ -127,7 +136,7 @@
 		panic(fmt.Sprintf("admission: ticket %d is queued already", t.ID))
 	}
 	r := q.rank(t.Level)
-	e := q.newEntry(r, t)
+	e := q.newEntry(now, r, t)
 	pressure := q.pressure(now, e)
 	if pressure > 1 {
 		pressure = refusedPressure
@@ -175,7 +184,7 @@
 // is for an upstream whose slots stay busy.
 func (q *Queue) Expire(now time.Time) []Ticket {
 	var expired []Ticket
-	for q.expiry.len() > 0 && q.expiry.min().latestStart.Before(now) {
+	for q.expiry.len() > 0 && q.expiry.min().giveUp.Before(now) {
 		e := q.expiry.min()
 		q.lost(now, e)
 		q.drop(e)
@@ -189,7 +198,7 @@
 	if q.expiry.len() == 0 {
 		return time.Time{}, false
 	}
-	return q.expiry.min().latestStart, true
+	return q.expiry.min().giveUp, true
 }
 
 // Remove takes a queued ticket out, for instance because its caller went away.
@@ -209,14 +218,21 @@
 	q.rank(t.Level).measure(t.Expected, service)
 }
 
-func (q *Queue) newEntry(r *rank, t Ticket) *entry {
+func (q *Queue) newEntry(now time.Time, r *rank, t Ticket) *entry {
 	q.sequence++
 	e := &entry{ticket: t, rank: r, sequence: q.sequence, cost: r.estimate(t.Expected)}
 	e.latestStart = t.Deadline.Add(-e.cost)
+	e.giveUp = now.Add(longestWait(e.latestStart.Sub(now)))
 	r.tag(e)
 	return e
 }
 
+// longestWait returns how long a ticket with the given slack waits at most.
+func longestWait(slack time.Duration) time.Duration {
+	part := time.Duration(maxWaitFraction * float64(slack))
+	return max(part, min(slack, shortWait))
+}
+
 func (q *Queue) add(e *entry) {
 	q.entries[e.ticket.ID] = e
 	e.rank.add(e)
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -109,7 +109,7 @@
 				// Every rank keeps a few tickets queued; one of them floods.
 				for q.rank(level).len() < 3 || level == flood && q.Len() < 100 {
 					id++
-					q.add(q.newEntry(q.rank(level), Ticket{ID: id, Level: level, Expected: cost[level], Deadline: now.Add(time.Hour)}))
+					q.add(q.newEntry(now, q.rank(level), Ticket{ID: id, Level: level, Expected: cost[level], Deadline: now.Add(time.Hour)}))
 				}
 			}
 			ticket, _, _ := q.Next(now)
--- a/admission/heap.go
+++ b/admission/heap.go
@@ -13,6 +13,7 @@
 	cost        time.Duration // estimated slot time
 	start       time.Duration // tag in the rank's virtual time
 	latestStart time.Time     // a later start misses the deadline
+	giveUp      time.Time     // the end of the wait, latestStart at most
 	served      bool
 	positions   [2]int // in the heaps, by heapSlot
 }
@@ -35,7 +36,7 @@
 	return a.sequence < b.sequence
 }
 
-func byLatestStart(a, b *entry) bool { return a.latestStart.Before(b.latestStart) }
+func byGiveUp(a, b *entry) bool { return a.giveUp.Before(b.giveUp) }
 
 // entryHeap is a heap of entries that can remove any of them.
 type entryHeap struct{ h *heapItems }
