Answer requests in hand before the end of a stop

Change: 0.25 s before the drain ends, the ingress interrupts the requests in hand; queued ones are refused as not run, others are answered as unknown. Ruled out: a longer grace (it is the platform's), and refusing new requests at the start of the stop (callers are told by readiness two seconds later).

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -61,7 +61,10 @@
 	limits  map[string]*callerLimit
 
 	active sync.WaitGroup
-	stats  stats
+	// ending ends when requests in hand have to be answered as they are.
+	ending    context.Context
+	interrupt context.CancelFunc
+	stats     stats
 }
 
 type stats struct {
@@ -84,7 +87,9 @@
 	if cfg.Callers == (Protocol{}) {
 		cfg.Callers = OwnProtocol()
 	}
+	ending, interrupt := context.WithCancel(context.Background())
 	return &Ingress{
+		ending: ending, interrupt: interrupt,
 		cfg:     cfg,
 		log:     cfg.Log,
 		loads:   newLoadTable(),
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -48,6 +48,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
 	defer cancel()
+	defer context.AfterFunc(in.ending, cancel)()
 	s := &serving{in: in, v: v, rq: rq, out: &answer{w: w}}
 	s.finish(w, s.run(ctx))
 }
@@ -361,6 +362,11 @@
 	}
 }
 
+// Interrupt answers the requests in hand as they are: those that wait have not
+// run, and of others the outcome is unknown. A process that ended with them
+// would leave their callers without an answer.
+func (in *Ingress) Interrupt() { in.interrupt() }
+
 // Maintain drops what is known of upstreams and nodes that are gone. It is
 // called about once a minute.
 func (in *Ingress) Maintain(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -196,7 +196,7 @@
 	}
 	err := n.leave()
 	stop()
-	return errors.Join(err, g.Wait())
+	return errors.Join(err, n.waitFor(g))
 }
 
 func serve(s *http.Server, ln net.Listener) error {
@@ -229,6 +229,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.LameDuck+n.set.DrainTimeout)
 	defer cancel()
 	n.post(board.LeaveRequested{})
+	defer time.AfterFunc(n.set.LameDuck+n.set.DrainTimeout-answerMargin, n.ingress.Interrupt).Stop()
 	err := n.members.Leave(ctx)
 	n.lameDuck(ctx)
 	// Shutdown waits for requests in hand; connections that are idle or come
@@ -263,5 +264,27 @@
 	}
 }
 
+const (
+	// answerMargin is the part of the time for a stop that is left for the
+	// answers to requests which are interrupted.
+	answerMargin = 250 * time.Millisecond
+	// endMargin bounds the wait for background work after a stop.
+	endMargin = 200 * time.Millisecond
+)
+
+// waitFor waits until the background work of g has ended, for endMargin at most.
+// None of it holds anything that would be lost.
+func (n *Node) waitFor(g *errgroup.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- g.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(endMargin):
+		n.log.Warn("background work has not ended")
+		return nil
+	}
+}
+
 // prefixed returns the logger of a part.
 func prefixed(l *slog.Logger, part string) *slog.Logger { return logging.Part(l, part) }
