End a stop without waiting for silent peers

Change: the fleet is told while callers are still served, the HTTP server is left once all requests are answered, and what is open is closed within 0.15 s. Ruled out: work in hand, which the logs show to have ended.

--- a/node/node.go
+++ b/node/node.go
@@ -228,26 +228,16 @@
 	n.log.Info("node is leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.LameDuck+n.set.DrainTimeout)
 	defer cancel()
-	n.post(board.LeaveRequested{})
 	defer time.AfterFunc(n.set.LameDuck+n.set.DrainTimeout-answerMargin, n.ingress.Interrupt).Stop()
-	err := n.members.Leave(ctx)
+	n.post(board.LeaveRequested{})
+	// The fleet may be slow to hear of it, and callers are served meanwhile.
+	told := make(chan error, 1)
+	go func() { told <- n.members.Leave(ctx) }()
 	n.lameDuck(ctx)
-	// Shutdown waits for requests in hand; connections that are idle or come
-	// new are closed, so that callers turn to other nodes.
-	err = errors.Join(err, n.callers.Shutdown(ctx))
-	err = errors.Join(err, n.ingress.Leave(ctx))
+	err := n.finishRequests(ctx)
 	// Attempts from other nodes are refused only now that they know.
-	err = errors.Join(err, n.dispatcher.Leave(ctx))
-	err = errors.Join(err, n.announcements.Shutdown(ctx))
-	n.groups.stop()
-	n.listener.Close()
-	n.dialer.Close()
-	n.members.Close()
-	for _, s := range []*http.Server{n.debug, n.ready} {
-		if s != nil {
-			s.Close()
-		}
-	}
+	err = errors.Join(err, n.dispatcher.Leave(ctx), <-told)
+	n.release()
 	if err != nil {
 		return fmt.Errorf("node: leave: %w", err)
 	}
@@ -255,6 +245,46 @@
 	return nil
 }
 
+// finishRequests closes the listener for callers and waits for their requests.
+// Connections that are idle are closed, so that callers turn to other nodes.
+func (n *Node) finishRequests(ctx context.Context) error {
+	closed := make(chan error, 1)
+	go func() { closed <- n.callers.Shutdown(ctx) }()
+	err := n.ingress.Leave(ctx)
+	// Shutdown looks for connections without a request at intervals of up to
+	// half a second. Once all requests are answered, only their last bytes may
+	// be under way.
+	select {
+	case <-closed:
+	case <-time.After(flushMargin):
+	}
+	return err
+}
+
+// release closes what is open. Some of it waits for peers that may be silent,
+// and nothing is lost if the process ends before.
+func (n *Node) release() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.announcements.Close()
+		n.groups.stop()
+		n.listener.Close()
+		n.dialer.Close()
+		n.members.Close()
+		for _, s := range []*http.Server{n.debug, n.ready} {
+			if s != nil {
+				s.Close()
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(endMargin):
+		n.log.Warn("connections to other processes have not ended")
+	}
+}
+
 // lameDuck goes on taking requests until callers have learned that the node
 // leaves.
 func (n *Node) lameDuck(ctx context.Context) {
@@ -268,8 +298,10 @@
 	// answerMargin is the part of the time for a stop that is left for the
 	// answers to requests which are interrupted.
 	answerMargin = 250 * time.Millisecond
-	// endMargin bounds the wait for background work after a stop.
-	endMargin = 200 * time.Millisecond
+	// flushMargin is the time for the last bytes of answers.
+	flushMargin = 100 * time.Millisecond
+	// endMargin bounds each wait for background work after a stop.
+	endMargin = 150 * time.Millisecond
 )
 
 // waitFor waits until the background work of g has ended, for endMargin at most.
