Count an attempt after declined ones as the first

The logs of f3_flood show retry=true on attempts that no upstream had seen before: the ingress called every attempt but the very first a retry. The queue serves retries after all first attempts of their rank and leaves them out of its measure of pressure, so ranks lost their shares whenever upstreams were busy.

Change: an attempt is a retry if an earlier one loaded an upstream or met a lack of capacity. Ruled out: the bound of waits (the same without it).

Also: the fleet is told of an upstream that fails its work for 10 s. Its own dispatcher sends only probes there, so that the sequential test has little evidence (i1_floor).

--- a/board/controllers.go
+++ b/board/controllers.go
@@ -57,6 +57,8 @@
 	case Withdrawn:
 		// The dispatcher has been told, and may have had the next announcement.
 		delete(s.Local, e.ID)
+	case FailingChanged:
+		s.noteFailing(e, now)
 	case Tick:
 		for id, u := range s.Local {
 			if now.After(u.LeaseEnds) {
@@ -67,6 +69,17 @@
 	}
 }
 
+func (s *State) noteFailing(e FailingChanged, now time.Time) {
+	u := s.Local[e.ID]
+	if u == nil {
+		return
+	}
+	u.failingSince = time.Time{}
+	if e.Failing {
+		u.failingSince = now
+	}
+}
+
 func (s *State) renew(e Announced, now time.Time) {
 	a := e.Announcement
 	u := s.Local[a.ID]
--- a/board/state.go
+++ b/board/state.go
@@ -43,6 +43,8 @@
 	Suspect   bool
 	// suspectSince is when Suspect was last set.
 	suspectSince time.Time
+	// failingSince is when it began to fail its work; zero if it does not.
+	failingSince time.Time
 	// Verdict is the latest judgement of its work.
 	Verdict health.Verdict
 	// Ledger is its state in the ledger of its service's group.
@@ -72,9 +74,15 @@
 // ingresses that send work there.
 const suspectTold = 5 * time.Second
 
+// failingTold is how long an upstream has to fail its work before the fleet is
+// told. Its dispatcher declines work meanwhile, and most failing phases end
+// sooner.
+const failingTold = 10 * time.Second
+
 // tellSuspect reports whether the fleet is to avoid the upstream.
 func (u *LocalUpstream) tellSuspect(now time.Time) bool {
-	return u.ejected() || u.Suspect && now.Sub(u.suspectSince) >= suspectTold
+	failing := !u.failingSince.IsZero() && now.Sub(u.failingSince) >= failingTold
+	return u.ejected() || failing || u.Suspect && now.Sub(u.suspectSince) >= suspectTold
 }
 
 // WarmUntil returns the end of its cold start, or of its slow start after an
@@ -112,6 +120,12 @@
 	Announced struct{ Announcement announce.Announcement }
 	// Withdrawn says that an upstream has gone.
 	Withdrawn struct{ ID fleet.UpstreamID }
+	// FailingChanged says that an upstream of this VM begins to fail its work, or
+	// has recovered.
+	FailingChanged struct {
+		ID      fleet.UpstreamID
+		Failing bool
+	}
 	// LeaveRequested begins a planned stop.
 	LeaveRequested struct{}
 )
@@ -121,6 +135,7 @@
 func (NodeChanged) isEvent()    {}
 func (Announced) isEvent()      {}
 func (Withdrawn) isEvent()      {}
+func (FailingChanged) isEvent() {}
 func (LeaveRequested) isEvent() {}
 
 // Action is something that a controller wants done outside the board.
--- a/consensus/disk/disk.go
+++ b/consensus/disk/disk.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -140,11 +141,22 @@
 	return syncFolder(folder)
 }
 
-// checkStructure walks the file. The first walk finds pages that cannot be
-// read, which would panic in the goroutine of the second one.
+// touched keeps the reads of touch.
+var touched atomic.Uint32
+
+// touch reads the ends of b. A damaged offset leads to addresses outside of the
+// file, which fault only when they are read.
+func touch(b []byte) {
+	if len(b) > 0 {
+		touched.Store(uint32(b[0]) + uint32(b[len(b)-1]))
+	}
+}
+
+// checkStructure walks the file. The first walk finds pages and keys that cannot
+// be read, which would end the process in the goroutine of the second one.
 func checkStructure(tx *bbolt.Tx) error {
 	err := tx.ForEach(func(_ []byte, b *bbolt.Bucket) error {
-		return b.ForEach(func(_, _ []byte) error { return nil })
+		return b.ForEach(func(k, v []byte) error { touch(k); touch(v); return nil })
 	})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrDamaged, err)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -37,6 +37,9 @@
 	Gone func(fleet.UpstreamID)
 	// Crashes keeps account of requests that crash upstreams. Nil: none is kept.
 	Crashes Crashes
+	// Failing is told when an upstream begins to fail its work at present, and
+	// when it has recovered. May be nil. It must not block.
+	Failing func(id fleet.UpstreamID, failing bool)
 	// Repeated is told when an upstream runs a request of a service that may have
 	// run before. May be nil. It must not block.
 	Repeated func(service string)
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -71,17 +71,27 @@
 // failing reports whether the upstream fails its work. u.mu is held.
 func (u *upstream) failing(now time.Time) bool { return u.gray.Failing(now) >= grayThreshold }
 
-// learn takes in how the upstream dealt with an attempt that was sent at start.
-// Attempts that wait at one that has begun to fail are sent elsewhere.
-func (u *upstream) learn(start, now time.Time, failed bool) {
+// learn takes in how an upstream dealt with an attempt that was sent at start.
+func (d *Dispatcher) learn(u *upstream, start, now time.Time, failed bool) {
+	before, after := u.learn(start, now, failed)
+	if before != after && d.cfg.Failing != nil {
+		d.cfg.Failing(u.id, after)
+	}
+}
+
+// learn is the part of Dispatcher.learn that concerns the upstream. It returns
+// whether the upstream was failing before and is after. Attempts that wait at
+// one that has begun to fail are sent elsewhere.
+func (u *upstream) learn(start, now time.Time, failed bool) (before, after bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before := u.failing(now)
+	before = u.failing(now)
 	u.gray.Observe(start, failed)
+	after = u.failing(now)
 	switch {
 	case !failed:
 		u.nextProbe = now
-		return
+		return before, after
 	case !before:
 		u.probeInterval = minProbeInterval
 		u.nextProbe = now.Add(minProbeInterval)
@@ -91,8 +101,8 @@
 	if now.Sub(start) > survivalTime {
 		u.slowFailureAt = now
 	}
-	if !u.failing(now) {
-		return
+	if !after {
+		return before, after
 	}
 	for id, p := range u.waiting {
 		if p.movable {
@@ -100,6 +110,7 @@
 			u.wake(id, outcome.HasNotRun(outcome.ReasonUnhealthy))
 		}
 	}
+	return before, after
 }
 
 // putOffProbe sets the time of the next probe and lengthens the interval. u.mu
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -90,7 +90,7 @@
 		d.cfg.Crashes.Completed(head.Fingerprint)
 	}
 	if failed, tells := d.evidence(head, result, service); tells {
-		u.learn(began, time.Now(), failed)
+		d.learn(u, began, time.Now(), failed)
 	}
 	u.release(ticket, max(service, 1))
 	c.finish(e, a)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -73,7 +73,10 @@
 	rq       *request
 	out      *answer
 	attempts int
-	runs     int // attempts that an upstream may have run
+	// loaded says that an attempt loaded an upstream, or was refused for lack of
+	// capacity. Until then the next one counts as the first.
+	loaded bool
+	runs   int // attempts that an upstream may have run
 	// declined lists the upstreams that declined an attempt. They may be tried
 	// again by one that insists.
 	declined []fleet.UpstreamID
@@ -97,6 +100,7 @@
 			}
 			return last
 		}
+		s.loaded = s.loaded || e.Loaded()
 		if e.Outcome != outcome.NotRun {
 			s.runs++
 		}
@@ -198,7 +202,7 @@
 		rq:   s.rq,
 		u:    u,
 		v:    s.v,
-		head: s.rq.head(s.rq.id+"-"+strconv.Itoa(s.attempts), u, s.attempts > 1, now),
+		head: s.rq.head(s.rq.id+"-"+strconv.Itoa(s.attempts), u, s.loaded, now),
 		out:  s.out,
 	}
 	if a.head.RemainingMs <= 0 {
--- a/node/new.go
+++ b/node/new.go
@@ -101,6 +101,7 @@
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
 		Upstreams:     n.options.Upstreams,
+		Failing:       n.reportFailing,
 		Repeated:      func(service string) { n.ingress.ChargeCalls(service) },
 	})
 	n.dispatcher.Register(n.mux)
@@ -123,6 +124,12 @@
 	})
 }
 
+// reportFailing tells the board, which tells the fleet.
+func (n *Node) reportFailing(id fleet.UpstreamID, failing bool) {
+	n.log.Info("upstream's work", "upstream", id, "failing", failing)
+	go n.post(board.FailingChanged{ID: id, Failing: failing})
+}
+
 // retryLimits returns this node's part of the fleet's retries; nil if the
 // settings state no allowance of the fleet.
 func (n *Node) retryLimits() func() retry.Limits {
