Choose at random among settled candidates of about the same cost

The settled choice took differences between probabilities of 0.8 and 0.97 for real, so a few of the failing upstreams got most of the work.

Change: upstreams from a probability of 0.5 count as failing alike, and the choice among candidates within a quarter of a round of work is random. Ruled out: weights by free slots; all had some. Test: TestSettledChoiceAmongFailing.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,7 +97,7 @@
 // false if no candidate may take the request.
 func Pick(r *rand.Rand, req Request, candidates []Candidate) (index int, ok bool) {
 	if req.Settled {
-		if i, ok := settled(&req, candidates); ok {
+		if i, ok := settled(r, &req, candidates); ok {
 			return i, true
 		}
 	}
@@ -206,28 +206,50 @@
 	failingCostLast = 8.0
 	// crossingCost weighs the way to another region.
 	crossingCost = 1.0
+	// surelyFailing is the probability from which upstreams count as failing
+	// alike: when all fail, each goes on getting its part of the work.
+	surelyFailing = 0.5
+	// similarCost is the difference in cost within which the choice is random.
+	similarCost = 0.25
 )
 
-// settled returns the candidate with the lowest sum of the wait for a slot, the
+// settled returns a candidate with about the lowest sum of the wait for a slot, the
 // risk of a failure and the way, among those whose load is known.
-func settled(req *Request, candidates []Candidate) (index int, ok bool) {
+func settled(r *rand.Rand, req *Request, candidates []Candidate) (index int, ok bool) {
+	costs := make([]float64, len(candidates))
 	lowest := math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.Known || tierOf(req, c) == tierUnusable {
+		costs[i] = math.Inf(1)
+		if c.Known && tierOf(req, c) != tierUnusable {
+			costs[i] = cost(req, c)
+		}
+		lowest = min(lowest, costs[i])
+	}
+	if math.IsInf(lowest, 1) {
+		return 0, false
+	}
+	seen := 0
+	for i := range candidates {
+		if costs[i] > lowest+similarCost {
 			continue
 		}
-		if cost := cost(req, c); cost < lowest {
-			index, ok, lowest = i, true, cost
+		// Each of the similar ones seen so far is kept with the same chance.
+		if seen++; r.IntN(seen) == 0 {
+			index = i
 		}
 	}
-	return index, ok
+	return index, true
 }
 
 func cost(req *Request, c *Candidate) float64 {
-	sum := failingCost * c.Failing
+	failing := c.Failing
+	if failing >= surelyFailing {
+		failing = 1
+	}
+	sum := failingCost * failing
 	if req.LastRun {
-		sum = failingCostLast * c.Failing
+		sum = failingCostLast * failing
 	}
 	if !free(c) {
 		sum += float64(c.InUse+c.Queued) / capacity(c)
--- a/balance/settled_test.go
+++ b/balance/settled_test.go
@@ -35,3 +35,22 @@
 	tried := []fleet.UpstreamID{"shorter", "longer"}
 	assert.Equal(t, pick(Request{Tried: tried}), fleet.UpstreamID("failing"))
 }
+
+// Guards against a service whose upstreams all fail and of which a few get all
+// the work.
+func TestSettledChoiceAmongFailing(t *testing.T) {
+	candidates := make([]Candidate, 4)
+	for i := range candidates {
+		candidates[i] = Candidate{Upstream: fleet.UpstreamID(rune('a' + i)), Region: "r", Slots: 5, Known: true, Failing: 0.6 + 0.1*float64(i)}
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	counts := make([]int, len(candidates))
+	for range 1000 {
+		i, ok := Pick(r, Request{Region: "r", Settled: true, LastRun: true}, candidates)
+		assert.Assert(t, ok)
+		counts[i]++
+	}
+	for i, n := range counts {
+		assert.Assert(t, n > 200, "%d got %d of 1000", i, n)
+	}
+}
