--- a/controld/controld.go
+++ b/controld/controld.go
@@ -103,7 +103,7 @@
 
 // New loads the stored configuration and opens the addresses. Run serves them.
 func New(set Settings, log *slog.Logger, options Options) (_ *Daemon, err error) {
-	ring, err := set.ring()
+	ring, err := keys.RingOf(set.LinkSecurity, set.NodeID, set.KeysDir)
 	if err != nil {
 		return nil, err
 	}
--- a/controld/settings.go
+++ b/controld/settings.go
@@ -45,7 +45,7 @@
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
-		LinkSecurity: "keys", IdempotencyGroups: true,
+		LinkSecurity: keys.SecurityKeys, IdempotencyGroups: true,
 		ShutdownTimeout: 15 * time.Second, LogLevel: "info", LogFormat: "text",
 	}
 }
@@ -114,19 +114,4 @@
 }
 
 // plain reports whether links have no keys.
-func (s *Settings) plain() bool { return s.LinkSecurity == "none" }
-
-// ring returns the keys of the process.
-func (s *Settings) ring() (*keys.Ring, error) {
-	if s.plain() {
-		return keys.Plain(s.NodeID), nil
-	}
-	ring, err := keys.Load(s.KeysDir)
-	if err != nil {
-		return nil, err
-	}
-	if ring.Name != s.NodeID {
-		return nil, fmt.Errorf("controld: node-id is %q but the certificate is for %q", s.NodeID, ring.Name)
-	}
-	return ring, nil
-}
+func (s *Settings) plain() bool { return s.LinkSecurity == keys.SecurityNone }
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -150,6 +150,28 @@
 // has to keep others out.
 func Plain(ip string) *Ring { return &Ring{Name: ip, plain: true} }
 
+// Security of links, as in settings.
+const (
+	SecurityKeys = "keys" // TLS with the keys of the process
+	SecurityNone = "none" // see Plain
+)
+
+// RingOf returns the ring of the process called name, with the keys in dir if
+// there are any. The keys must be for that name.
+func RingOf(security, name, dir string) (*Ring, error) {
+	if security == SecurityNone {
+		return Plain(name), nil
+	}
+	r, err := Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	if r.Name != name {
+		return nil, fmt.Errorf("keys: the process is called %q but the certificate is for %q", name, r.Name)
+	}
+	return r, nil
+}
+
 // Load reads the keys of a process from dir.
 func Load(dir string) (*Ring, error) {
 	cert, err := tls.LoadX509KeyPair(filepath.Join(dir, processCert), filepath.Join(dir, processKey))
--- a/node/new.go
+++ b/node/new.go
@@ -49,7 +49,7 @@
 
 // New opens the node's addresses. Run serves them.
 func New(set Settings, log *slog.Logger, options Options) (*Node, error) {
-	ring, err := set.ring()
+	ring, err := keys.RingOf(set.LinkSecurity, set.NodeID, set.KeysDir)
 	if err != nil {
 		return nil, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -188,7 +188,9 @@
 		g.Go(func() error { return serve(n.ready, n.readyLn) })
 	}
 	g.Go(func() error { n.maintain(run); return nil })
-	g.Go(func() error { n.reportBurn(run, n.config.Control()); return nil })
+	if n.set.ReportBurn {
+		g.Go(func() error { n.reportBurn(run, n.config.Control()); return nil })
+	}
 	n.log.Info("node is up", "node", n.set.NodeID, "callers", n.callerLn.Addr(), "link", n.listener.Addr())
 	select {
 	case <-ctx.Done():
--- a/node/settings.go
+++ b/node/settings.go
@@ -39,6 +39,8 @@
 	RetryRatio float64 `flag:"retry-ratio" usage:"retries of a service per request, over the fleet in 10 s; 0: a fixed budget of each node" range:"0 to 1" validate:"min=0,max=1"`
 	RetrySlack float64 `flag:"retry-slack" usage:"retries of a service beyond retry-ratio, over the fleet in 10 s" validate:"min=0"`
 
+	ReportBurn bool `flag:"report-burn" usage:"send counts of requests to control for the report on service-level burn"`
+
 	LameDuck     time.Duration `flag:"lame-duck" usage:"how long the node goes on taking requests after it has begun to leave" range:"0s to 1h" validate:"min=0s,max=1h"`
 	DrainTimeout time.Duration `flag:"drain-timeout" usage:"longest wait for requests in flight at a planned stop" range:"1s to 1h" validate:"min=1s,max=1h"`
 
@@ -49,8 +51,9 @@
 // Defaults returns the default settings.
 func Defaults() Settings {
 	return Settings{
-		LinkSecurity:  "keys",
+		LinkSecurity:  keys.SecurityKeys,
 		LinkTransport: "tls",
+		ReportBurn:    true,
 		LinkConns:     2,
 		DrainTimeout:  30 * time.Second,
 		LogLevel:      "info",
@@ -88,7 +91,7 @@
 }
 
 // plain reports whether links have no keys.
-func (s *Settings) plain() bool { return s.LinkSecurity == "none" }
+func (s *Settings) plain() bool { return s.LinkSecurity == keys.SecurityNone }
 
 // checkPlain checks that the node is known by its address, and that no
 // transport is asked for that cannot do without keys.
@@ -102,18 +105,3 @@
 	}
 	return errors.Join(faults...)
 }
-
-// ring returns the keys of the process.
-func (s *Settings) ring() (*keys.Ring, error) {
-	if s.plain() {
-		return keys.Plain(s.NodeID), nil
-	}
-	ring, err := keys.Load(s.KeysDir)
-	if err != nil {
-		return nil, err
-	}
-	if ring.Name != s.NodeID {
-		return nil, fmt.Errorf("node: node-id is %q but the certificate is for %q", s.NodeID, ring.Name)
-	}
-	return ring, nil
-}
