--- a/node/node.go
+++ b/node/node.go
@@ -174,6 +174,7 @@
 	n.members.Subscribe(func(m fleet.Node) { n.post(board.NodeChanged{Node: m}) })
 	n.config.Subscribe(func(s *resource.Set) {
 		c := resource.Compile(s)
+		n.log.Info("configuration received", "version", c.Version.String(), "routes", c.Routes())
 		n.post(board.ConfigChanged{Config: c})
 		n.groups.host.SetGroups(c.Groups)
 	})
--- a/resource/config.go
+++ b/resource/config.go
@@ -113,6 +113,15 @@
 	return nil
 }
 
+// Routes returns the number of routes.
+func (c *Config) Routes() int {
+	n := 0
+	for _, routes := range c.routes {
+		n += len(routes)
+	}
+	return n
+}
+
 // PolicyKind returns the request kind that a route brings, or nil.
 func (c *Config) PolicyKind(r *Route) *RequestKind { return c.Kinds[policyKindPrefix+r.Name] }
 
