--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -69,7 +70,7 @@
 }
 
 // failing reports whether the upstream fails its work. u.mu is held.
-func (u *upstream) failing(now time.Time) bool { return u.gray.Failing(now) >= grayThreshold }
+func (u *upstream) failing(now time.Time) bool { return u.gray.Failing(now) >= health.GrayFailing }
 
 // learn takes in how an upstream dealt with an attempt that was sent at start.
 func (d *Dispatcher) learn(u *upstream, start, now time.Time, failed bool) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -56,8 +56,6 @@
 	slowFailureAt time.Time
 }
 
-const grayThreshold = health.GrayFailing
-
 func newUpstream(a announce.Announcement, now time.Time) *upstream {
 	u := &upstream{
 		id:      a.ID,
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -1,16 +1,12 @@
 package ingress
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
-	"github.com/godwithub/godwithub/balance"
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/outcome"
@@ -100,10 +96,6 @@
 			}
 			return last
 		}
-		s.loaded = s.loaded || e.Loaded()
-		if e.Outcome != outcome.NotRun {
-			s.runs++
-		}
 		last = settle(last, e, mayHaveRun)
 		mayHaveRun = mayHaveRun || e.Outcome != outcome.NotRun
 		if s.waitForHolder(ctx, e) {
@@ -118,12 +110,6 @@
 	}
 }
 
-// insistAfter is how many upstreams may decline a request before the one that
-// is best by their answers has to take it. With fewer, a request would wait
-// while others have free slots; with more, it would go around for longer when
-// none has.
-const insistAfter = 3
-
 // settle returns what is known of a request after its latest attempt ended
 // with e. A "not run" speaks of its own attempt only: once an earlier one may
 // have run, so may the request.
@@ -214,85 +200,11 @@
 	e, load := a.run(ctx)
 	entry.finish(load, time.Now())
 	e = s.fence(ctx, a, e)
-	if e.Declined() {
-		s.declined = append(s.declined, u.ID)
-		if u.Region != s.v.Self.Region {
-			s.in.cross.note(s.rq.service.Name, time.Now())
-		}
-	} else {
-		s.tried = append(s.tried, u.ID)
-	}
+	s.noteUpstream(u, e)
 	s.trace = append(s.trace, AttemptTrace{u.ID, u.Node, time.Since(now), e.Outcome.String(), string(e.Reason)})
 	return e, true
 }
 
-// maxRuns returns how many upstreams may run the request.
-func (s *serving) maxRuns() int { return cmp.Or(s.rq.kind.MaxAttempts, retry.MaxRuns) }
-
-// lastRun reports whether no other run follows if the next one fails.
-func (s *serving) lastRun(now time.Time) bool {
-	return !s.rq.kind.Idempotent || s.runs+1 >= s.maxRuns() || !s.in.budget(s.rq.service.Name).left(now)
-}
-
-// insists reports whether the next attempt is to be taken in any case.
-func (s *serving) insists() bool { return s.noneLeft || len(s.declined) >= insistAfter }
-
-// avoided returns the upstreams that the next attempt leaves out.
-func (s *serving) avoided() []fleet.UpstreamID {
-	if s.insists() {
-		return s.tried
-	}
-	return slices.Concat(s.tried, s.declined)
-}
-
-// pick chooses an upstream. Upstreams whose queue refuses such work are left
-// out, so that an overload is refused here at no cost to the slots.
-func (s *serving) pick(now time.Time) (*board.Upstream, outcome.Reason) {
-	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, s.rq.level, now)
-	req := balance.Request{
-		Region:        s.v.Self.Region,
-		FailureDomain: s.v.Self.FailureDomain,
-		Level:         s.rq.level,
-		Idempotent:    s.rq.kind.Idempotent,
-		LastRun:       s.lastRun(now),
-		Key:           s.rq.key,
-		Tried:         s.avoided(),
-		CrossAllowed:  s.insists() || s.in.cross.open(s.rq.service.Name, now),
-		Settled:       s.insists(),
-	}
-	reason, overBytes := outcome.ReasonNoUpstream, false
-	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	for {
-		i, ok := balance.Pick(r, req, candidates)
-		switch {
-		case ok:
-		case len(s.declined) > 0 && !req.Settled:
-			// Fewer upstreams are left than may decline.
-			s.noneLeft = true
-			req.Tried, req.Settled, req.CrossAllowed = s.tried, true, !overBytes
-			continue
-		case !req.CrossAllowed && !overBytes:
-			req.CrossAllowed = true
-			continue
-		default:
-			return nil, reason
-		}
-		u := &upstreams[i]
-		crossing := u.Region != s.v.Self.Region
-		switch {
-		case s.in.loads.refuses(u.ID, s.rq, now):
-			reason = outcome.ReasonShed
-			s.in.stats.shedEarly.Add(1)
-			req.Tried = append(req.Tried[:len(req.Tried):len(req.Tried)], u.ID)
-		case crossing && s.in.cfg.CrossRegion != nil && !s.in.cfg.CrossRegion(s.rq.level, s.rq.kind.AnswerBytes):
-			reason, overBytes = outcome.ReasonShed, true
-			req.CrossAllowed = false
-		default:
-			return u, ""
-		}
-	}
-}
-
 // finish answers the caller.
 func (s *serving) finish(w http.ResponseWriter, e outcome.Ended) {
 	status := statusOf(e)
