Keep probing upstreams that can be ejected

The filter of states at the dispatcher declines all work of a failing upstream but one probe, whose interval grows to 2.5 s; the sequential test needs seven failures at the least and got them after 12 to 15 s. Change: the interval stays at 1 s where the service has a group that grants ejections. Probes end with the ejection. Without groups, as on the users' platform, nothing changes. Test: TestEjectableUpstreamKeepsProbes, 5 probes in 10 s before (failed), 8 or more now.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -139,7 +139,7 @@
 	if u == nil {
 		u = newUpstream(a, time.Now())
 		d.upstreams[a.ID] = u
-		u.setRanks(d.ranks)
+		u.configure(d.ranksFrom, d.ranks)
 		d.log.Info("upstream joined", "upstream", a.ID, "service", a.Service, "addr", a.Addr, "slots", a.Slots)
 	}
 	u.update(a)
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -14,7 +14,9 @@
 // still fails. After one that succeeds the next follows at once.
 const (
 	// minProbeInterval follows the first failure. The interval grows by
-	// probeBackoff with each probe that fails, up to maxProbeInterval.
+	// probeBackoff with each probe that fails, up to maxProbeInterval. It stays
+	// where upstreams can be ejected: the probes are the evidence for a permit,
+	// and end with the ejection.
 	minProbeInterval = time.Second
 	maxProbeInterval = 2500 * time.Millisecond
 	probeBackoff     = 1.4
@@ -118,6 +120,9 @@
 // is held.
 func (u *upstream) putOffProbe(now time.Time) {
 	u.nextProbe = now.Add(u.probeInterval)
+	if u.ejectable {
+		return
+	}
 	u.probeInterval = min(time.Duration(probeBackoff*float64(u.probeInterval)), maxProbeInterval)
 }
 
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -39,6 +39,22 @@
 	assert.Equal(t, u.decline(now, &wire.AttemptHead{LastRun: true, Insist: true}), outcome.ReasonNone)
 }
 
+// Guards against probes that become so rare that the sequential test, which
+// needs seven failures, does not ask for an ejection within 15 s.
+func TestEjectableUpstreamKeepsProbes(t *testing.T) {
+	u, now := grayUpstream()
+	u.ejectable = true
+	u.learn(now, now, true)
+	probes := 0
+	for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		if u.decline(at, &wire.AttemptHead{Idempotent: true}) == outcome.ReasonNone {
+			probes++
+			u.learn(at, at, true)
+		}
+	}
+	assert.Assert(t, probes >= 8, "%d probes in 10 s", probes)
+}
+
 // Guards against an upstream that stays out for long after it has recovered:
 // each probe that succeeds is followed by the next at once.
 func TestRecoveredUpstreamReturns(t *testing.T) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -52,6 +52,8 @@
 	gray          health.Gray
 	nextProbe     time.Time
 	probeInterval time.Duration
+	// ejectable says that the service has a group that grants ejections.
+	ejectable bool
 	// slowFailureAt is when a request last failed after survivalTime.
 	slowFailureAt time.Time
 }
@@ -82,9 +84,15 @@
 	}
 }
 
-func (u *upstream) setRanks(ranks []rankShare) {
+// configure takes over what a configuration says of the upstream and its work.
+// c may be nil.
+func (u *upstream) configure(c *resource.Config, ranks []rankShare) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if c != nil {
+		s := c.Services[u.service]
+		u.ejectable = s != nil && s.Group != ""
+	}
 	u.queue.SetRanks(ranks)
 	u.levels = u.levels[:0]
 	for _, r := range ranks {
@@ -294,7 +302,7 @@
 	d.ranksFrom = c
 	d.ranks = sharesOf(c)
 	for _, u := range d.upstreams {
-		u.setRanks(d.ranks)
+		u.configure(c, d.ranks)
 	}
 }
 
