Count no load for attempts that an upstream failed at once

Cause: an idempotent request that tested a failing upstream, or met one that had just begun to fail, was queued afterwards as a retry, behind all first attempts. Ruled out: the retry budget (the retries were allowed; they expired in the queue). Change: the end of an attempt says how long the upstream worked on it. A run under 50 ms used no capacity, and the next attempt counts as a first one in the queue. The budget is charged as before.

--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -61,6 +61,7 @@
 	stop := d.watch(a, s)
 	w.keepAlive()
 	end = d.run(a, head, body, w)
+	end.ServedMs = a.served.Milliseconds()
 	d.logAttempt(a, head, &end)
 	d.attempts.finish(a, end)
 	stop()
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -68,12 +68,13 @@
 
 // run makes the attempt. The same attempt is sent again over another route as
 // long as nothing of its answer has been passed on: the dispatcher runs it once.
-func (a *attempt) run(ctx context.Context) (outcome.Ended, *wire.Load) {
+// The end that the dispatcher reported is nil if none came.
+func (a *attempt) run(ctx context.Context) (outcome.Ended, *wire.AnswerEnd) {
 	defer a.resetStale()
 	for _, r := range a.routes() {
 		end, err := a.over(ctx, r)
 		if err == nil {
-			return a.ended(ctx, end), &end.Load
+			return a.ended(ctx, end), end
 		}
 		if ctx.Err() != nil {
 			return a.interrupted(ctx), nil
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -11,6 +11,7 @@
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/retry"
+	"github.com/godwithub/godwithub/wire"
 )
 
 // insistAfter is how many upstreams may decline a request before the one that
@@ -19,9 +20,17 @@
 // none has.
 const insistAfter = 3
 
-// noteUpstream takes in how an attempt at an upstream ended.
-func (s *serving) noteUpstream(u *board.Upstream, e outcome.Ended) {
-	s.loaded = s.loaded || e.Loaded()
+// shortRun is the run up to which an attempt counts as no load. Upstreams that
+// fail their work do so at once: the request has used none of their capacity,
+// and served to find out that they fail. If its next attempt had to wait behind
+// all first attempts, it would get no slot while the others are busy.
+const shortRun = 50 * time.Millisecond
+
+// noteUpstream takes in how an attempt at an upstream ended. end is nil if the
+// dispatcher reported nothing.
+func (s *serving) noteUpstream(u *board.Upstream, e outcome.Ended, end *wire.AnswerEnd) {
+	short := e.Outcome != outcome.NotRun && end != nil && end.Served() < shortRun
+	s.loaded = s.loaded || e.Loaded() && !short
 	if e.Outcome != outcome.NotRun {
 		s.runs++
 	}
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -109,14 +109,16 @@
 	e.pending++
 }
 
-// finish counts an attempt that ended, with the load that its answer reported.
-func (e *loadEntry) finish(l *wire.Load, now time.Time) {
+// finish counts an attempt that ended, with the load that its end reported. end
+// is nil if none came.
+func (e *loadEntry) finish(end *wire.AnswerEnd, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pending--
-	if l == nil || l.Slots == 0 {
+	if end == nil || end.Load.Slots == 0 {
 		return
 	}
+	l := &end.Load
 	e.atReport = e.pending
 	e.reported = load{
 		inUse:     l.SlotsInUse,
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -147,8 +147,13 @@
 	Load      Load            `cbor:"5,keyasint"`
 	// Message is a detail for operators, never shown to callers.
 	Message string `cbor:"6,keyasint,omitempty"`
+	// ServedMs is how long the upstream worked on the attempt, in milliseconds.
+	ServedMs int64 `cbor:"7,keyasint,omitempty"`
 }
 
+// Served returns how long the upstream worked on the attempt.
+func (e *AnswerEnd) Served() time.Duration { return time.Duration(e.ServedMs) * time.Millisecond }
+
 // Load is what a dispatcher says of the upstream with each answer.
 type Load struct {
 	SlotsInUse int `cbor:"1,keyasint"`
