Pause between calls to members that name each other as leader

Cause: the client of a group followed the name of a leader without a pause, for as long as each refusal named one. Two members that hold each other for the leader (a former one and its successor, before either has heard of the end of an election) were called in turn as fast as they answered. In tests with simulated time this ran on without end; in a fleet it is a storm of calls for the length of an election. Ruled out: a loop of messages between replicas (no replica took over 3,000 messages in one tick), load. Change: the client pauses once a round, whatever the members say. Test: TestMembersThatNameEachOther ran on without end before, and passes now.

--- a/idempotency/client.go
+++ b/idempotency/client.go
@@ -288,7 +288,9 @@
 			return GroupReply{}, fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 		b.setLeader(reply.Leader)
-		if callErr != nil || reply.Leader == "" && i%len(g.Members) == len(g.Members)-1 {
+		// Members may name each other as leader for a while, so their word is not
+		// followed without a pause for longer than a round.
+		if callErr != nil || i%len(g.Members) == len(g.Members)-1 {
 			pause(ctx, retryDelay)
 		}
 		if ctx.Err() != nil {
--- /dev/null
+++ b/idempotency/client_test.go
@@ -0,0 +1,39 @@
+package idempotency
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/resource"
+)
+
+// eachOther answers as two members that hold each other for the leader.
+type eachOther struct{ calls int }
+
+func (e *eachOther) Call(_ context.Context, node fleet.NodeID, _ GroupCall) (GroupReply, error) {
+	e.calls++
+	other := map[fleet.NodeID]fleet.NodeID{"a": "b", "b": "a"}[node]
+	return GroupReply{Refusal: RefusedNotLeader, Leader: other}, nil
+}
+
+// Guards against a client that sends a claim to and fro without a pause between
+// two members that name each other as leader, as after an election that neither
+// has heard the end of.
+func TestMembersThatNameEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &resource.Group{Members: []resource.GroupMember{{Node: "a"}, {Node: "b"}}}
+		caller := &eachOther{}
+		client := NewClient(caller, func(string) *resource.Group { return g })
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := client.Claim(ctx, newKey(), "attempt", time.Now().Add(time.Minute))
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, caller.calls <= 2*int(time.Second/retryDelay)+2, "%d calls in 1 s", caller.calls)
+	})
+}
