Compress configurations between processes

Cause: after all processes have lost power, each node gets the whole configuration again, 100 KB and more after a change with 390 routes. A node with a link of 3.3 Mbit/s served it to dozens of others, so that pulls ran into their timeout; copies that crossed regions cost more than all requests. Test: TestCompressedDelta, with a bound on what a small message may expand to.

--- /dev/null
+++ b/distribute/compress_test.go
@@ -0,0 +1,28 @@
+package distribute
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against deltas that are damaged by compression, and small messages that
+// expand to more than a node has memory for.
+func TestCompressedDelta(t *testing.T) {
+	small, large := []byte("one change"), bytes.Repeat([]byte("route 1 of service shop; "), 1000)
+	for _, b := range [][]byte{small, large} {
+		e, err := newEncodedDelta(b)
+		assert.NilError(t, err)
+		got, err := e.plain(len(b))
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, b))
+	}
+	e, err := newEncodedDelta(large)
+	assert.NilError(t, err)
+	assert.Assert(t, len(e.data) < len(large)/10, "%d of %d bytes", len(e.data), len(large))
+	_, err = e.plain(len(large) - 1)
+	assert.ErrorIs(t, err, errTooLarge)
+	_, err = encodedDelta{e.data[:len(e.data)/2], true}.plain(len(large))
+	assert.ErrorContains(t, err, "decompress")
+}
--- a/distribute/protocol.go
+++ b/distribute/protocol.go
@@ -34,19 +34,22 @@
 }
 
 // deltaPart is the payload of a wire.FrameConfigDelta. The data of the parts up
-// to the one marked Last make up an encoded resource.Delta. A single part
+// to the one marked Last make up an encoded resource.Delta, in the format of
+// RFC 1951 if they are marked Compressed. A single part
 // without data says that there is nothing newer; on a watch it is the heartbeat.
 type deltaPart struct {
 	Version resource.Version `cbor:"1,keyasint"` // held by the sender
 	Data    []byte           `cbor:"2,keyasint,omitempty"`
 	Last    bool             `cbor:"3,keyasint,omitempty"`
+
+	Compressed bool `cbor:"4,keyasint,omitempty"`
 }
 
-// writeDelta sends an encoded delta in parts. data may be empty.
-func writeDelta(s link.Stream, v resource.Version, data []byte, timeout time.Duration) error {
-	for {
+// writeDelta sends an encoded delta in parts. It may be empty.
+func writeDelta(s link.Stream, v resource.Version, e encodedDelta, timeout time.Duration) error {
+	for data := e.data; ; {
 		n := min(len(data), maxPartBytes)
-		part := deltaPart{Version: v, Data: data[:n], Last: n == len(data)}
+		part := deltaPart{Version: v, Data: data[:n], Last: n == len(data), Compressed: e.compressed}
 		if err := writeBounded(s, wire.FrameConfigDelta, part, timeout); err != nil {
 			return err
 		}
@@ -86,12 +89,21 @@
 		if len(data) == 0 {
 			return nil, part.Version, nil
 		}
-		d := &resource.Delta{}
-		if err := wire.Decode(data, d); err != nil {
-			return nil, part.Version, err
-		}
-		return d, part.Version, nil
+		d, err := decodeDelta(encodedDelta{data, part.Compressed})
+		return d, part.Version, err
+	}
+}
+
+func decodeDelta(e encodedDelta) (*resource.Delta, error) {
+	b, err := e.plain(maxDeltaBytes)
+	if err != nil {
+		return nil, err
+	}
+	d := &resource.Delta{}
+	if err := wire.Decode(b, d); err != nil {
+		return nil, err
 	}
+	return d, nil
 }
 
 // answer is what a peer replied to a pull.
--- a/distribute/server.go
+++ b/distribute/server.go
@@ -32,7 +32,7 @@
 
 	mu     sync.Mutex
 	set    *resource.Set // the set that cached was made from
-	cached map[resource.Version][]byte
+	cached map[resource.Version]encodedDelta
 
 	watchers, served atomic.Int64
 	bytesSent        atomic.Uint64
@@ -41,14 +41,14 @@
 // NewServer returns a server of h.
 func NewServer(cfg Config, h *Holder, log *slog.Logger) *Server {
 	cfg.setDefaults()
-	return &Server{cfg: cfg, holder: h, log: logging.Part(log, "distribute"), cached: map[resource.Version][]byte{}}
+	return &Server{cfg: cfg, holder: h, log: logging.Part(log, "distribute"), cached: map[resource.Version]encodedDelta{}}
 }
 
 // encoded returns the encoded delta from since to set, or nothing if set is not
 // newer.
-func (s *Server) encoded(set *resource.Set, since resource.Version) ([]byte, error) {
+func (s *Server) encoded(set *resource.Set, since resource.Version) (encodedDelta, error) {
 	if !since.Less(set.Version()) {
-		return nil, nil
+		return encodedDelta{}, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -56,30 +56,31 @@
 		s.set = set
 		clear(s.cached)
 	}
-	if b, ok := s.cached[since]; ok {
-		return b, nil
+	if e, ok := s.cached[since]; ok {
+		return e, nil
 	}
 	d, err := set.Since(since)
 	if err != nil {
-		return nil, err
+		return encodedDelta{}, err
 	}
 	b, err := wire.Encode(d)
 	if err != nil {
-		return nil, err
+		return encodedDelta{}, err
 	}
-	if len(s.cached) < maxCached && len(b) <= maxCachedBytes {
-		s.cached[since] = b
+	e, err := newEncodedDelta(b)
+	if err == nil && len(s.cached) < maxCached && len(e.data) <= maxCachedBytes {
+		s.cached[since] = e
 	}
-	return b, nil
+	return e, err
 }
 
 func (s *Server) send(stream link.Stream, set *resource.Set, since resource.Version) error {
-	b, err := s.encoded(set, since)
+	e, err := s.encoded(set, since)
 	if err != nil {
 		return err
 	}
-	s.bytesSent.Add(uint64(len(b)))
-	return writeDelta(stream, set.Version(), b, s.cfg.FrameTimeout)
+	s.bytesSent.Add(uint64(len(e.data)))
+	return writeDelta(stream, set.Version(), e, s.cfg.FrameTimeout)
 }
 
 // HandlePull answers with the delta since a version.
@@ -93,7 +94,7 @@
 		}
 		set := s.holder.Current()
 		if r.VersionOnly {
-			err = writeDelta(stream, set.Version(), nil, s.cfg.FrameTimeout)
+			err = writeDelta(stream, set.Version(), encodedDelta{}, s.cfg.FrameTimeout)
 		} else {
 			err = s.send(stream, set, r.Since)
 		}
