Export latency histograms and outcomes by reason

Cause: the metrics had totals only; on-call engineers could not see which service and rank is slow, or why requests and attempts end. Change: the ingress counts ended requests by service, rank, outcome and reason, with a histogram of their latency; the dispatcher counts ended and declined attempts by reason, with histograms of queue and service times. Ruled out: a second format on the same address; the users ask for text on the metrics address, which JSON is.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -103,6 +103,11 @@
 
 type stats struct {
 	attempts, duplicates, foreign, relayed, answered, notRun, unknown expvar.Int
+	// ended counts attempts that were taken by outcome and reason, and declined
+	// those that were not, by reason.
+	ended, declined expvar.Map
+	// queued and served are the times in the queue and at the upstream, by service.
+	queued, served metrics.Latencies
 }
 
 // New returns a dispatcher without upstreams.
@@ -199,6 +204,10 @@
 		"not_run":    &d.stats.notRun,
 		"unknown":    &d.stats.unknown,
 	})
+	m.Set("ended", &d.stats.ended)
+	m.Set("declined", &d.stats.declined)
+	m.Set("queued", &d.stats.queued)
+	m.Set("served", &d.stats.served)
 	m.Set("upstreams", expvar.Func(func() any { return d.describe() }))
 	return m
 }
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -63,6 +63,7 @@
 	end = d.run(a, head, body, w)
 	end.ServedMs = a.served.Milliseconds()
 	d.logAttempt(a, head, &end)
+	d.measure(a, head, &end)
 	d.attempts.finish(a, end)
 	stop()
 	d.count(end.Outcome)
@@ -73,6 +74,7 @@
 // one is on its way already.
 func (d *Dispatcher) finishDeclined(s link.Stream, head *wire.AttemptHead, end wire.AnswerEnd, deadline time.Time) {
 	d.count(end.Outcome)
+	d.stats.declined.Add(string(end.Reason), 1)
 	if head.Idempotent {
 		if _, err := readBody(s, head, deadline); err != nil {
 			s.Reset()
@@ -181,6 +183,19 @@
 		"in_use", end.Load.SlotsInUse, "slots", end.Load.Slots, "queued", end.Load.Queued, "suspect", end.Load.Suspect, "message", end.Message)
 }
 
+// measure counts an attempt that was taken.
+func (d *Dispatcher) measure(a *attempt, head *wire.AttemptHead, end *wire.AnswerEnd) {
+	label := end.Outcome.String()
+	if end.Reason != outcome.ReasonNone {
+		label += "/" + string(end.Reason)
+	}
+	d.stats.ended.Add(label, 1)
+	d.stats.queued.Record(head.Service, a.queued)
+	if end.Outcome != outcome.NotRun {
+		d.stats.served.Record(head.Service, a.served)
+	}
+}
+
 func (d *Dispatcher) count(o outcome.Outcome) {
 	switch o {
 	case outcome.Answered:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -69,6 +69,10 @@
 
 type stats struct {
 	requests, attempts, retries, resends, relays, answered, notRun, unknown, shedEarly expvar.Int
+	// ended counts requests by service, rank level, outcome and reason.
+	ended expvar.Map
+	// latency is the time to the end of a request, by service, level and outcome.
+	latency metrics.Latencies
 }
 
 type lockedBudget struct {
@@ -213,7 +217,7 @@
 
 // Metrics returns the ingress's counters for expvar.
 func (in *Ingress) Metrics() *expvar.Map {
-	return metrics.Counters(map[string]*expvar.Int{
+	m := metrics.Counters(map[string]*expvar.Int{
 		"requests":   &in.stats.requests,
 		"attempts":   &in.stats.attempts,
 		"retries":    &in.stats.retries,
@@ -224,6 +228,9 @@
 		"unknown":    &in.stats.unknown,
 		"shed_early": &in.stats.shedEarly,
 	})
+	m.Set("ended", &in.stats.ended)
+	m.Set("latency", &in.stats.latency)
+	return m
 }
 
 var _ http.Handler = (*Ingress)(nil)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -249,6 +249,12 @@
 
 func (in *Ingress) record(s *serving, e outcome.Ended, status int) {
 	latency := time.Since(s.rq.began)
+	label := s.rq.service.Name + "/" + strconv.Itoa(s.rq.level) + "/" + e.Outcome.String()
+	in.stats.latency.Record(label, latency)
+	if e.Reason != outcome.ReasonNone {
+		label += "/" + string(e.Reason)
+	}
+	in.stats.ended.Add(label, 1)
 	in.trace.add(Trace{
 		RequestID: s.rq.id,
 		Began:     s.rq.began,
