--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,9 +27,6 @@
 	Queued int
 	// Known says that load and Failing were reported a short while ago.
 	Known bool
-	// Fresh says that load was reported so lately that no slot can be expected
-	// to have become free since.
-	Fresh bool
 	// Failing is the probability that it fails the request.
 	Failing  float64
 	Suspect  bool
@@ -90,7 +87,7 @@
 	tierHome                    // own region, healthy, not full
 	tierRemote                  // other region, healthy, not full
 	tierSuspect                 // own region, suspect, not full
-	tierHomeFull                // own region, full, or busy by a fresh report
+	tierHomeFull                // own region, full
 	tierRemoteOther             // other region, suspect or full
 	tierTrial                   // under trial, and nothing else is left
 	tierUnusable
@@ -145,35 +142,14 @@
 		return tierSuspect
 	case home && c.FailureDomain == req.FailureDomain && free(c):
 		return tierNear
-	case home && !busy(c):
-		return tierHome
 	case home:
-		return tierHomeFull
-	case c.Suspect || full(c) || busy(c):
+		return tierHome
+	case c.Suspect || full(c):
 		return tierRemoteOther
 	}
 	return tierRemote
 }
 
-// Saturated reports whether every upstream that may take the request is busy,
-// failing or full, and the load of one at least is known. Asking another one
-// then leads to nothing: the request has to wait where its wait is shortest.
-func Saturated(req Request, candidates []Candidate) bool {
-	known := false
-	for i := range candidates {
-		switch tierOf(&req, &candidates[i]) {
-		case tierNear, tierHome, tierRemote:
-			return false
-		case tierSuspect, tierHomeFull, tierRemoteOther:
-			known = known || candidates[i].Fresh
-		}
-	}
-	return known
-}
-
-// busy reports whether a dispatcher would decline the request for want of a slot.
-func busy(c *Candidate) bool { return c.Fresh && !free(c) }
-
 // pickTrial sends a small part of idempotent work below the most urgent rank to
 // upstreams under trial, one request at a time.
 func pickTrial(r *rand.Rand, req *Request, candidates []Candidate, trials []int) (int, bool) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -43,9 +43,6 @@
 	// Repeated is told when an upstream runs a request of a service that may have
 	// run before. May be nil. It must not block.
 	Repeated func(service string)
-	// Peers returns what this node knows of other upstreams of a service, to be
-	// passed on with answers. May be nil. It must not block.
-	Peers func(service string, except fleet.UpstreamID) []wire.PeerLoad
 	// Upstreams is how upstreams are spoken to. Without a Refusal it is
 	// OwnProtocol.
 	Upstreams Protocol
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
@@ -63,7 +62,6 @@
 	w.keepAlive()
 	end = d.run(a, head, body, w)
 	end.ServedMs = a.served.Milliseconds()
-	end.Peers = d.peers(head)
 	d.logAttempt(a, head, &end)
 	d.measure(a, head, &end)
 	d.attempts.finish(a, end)
@@ -83,18 +81,9 @@
 			return
 		}
 	}
-	end.Peers = d.peers(head)
 	newAnswerWriter(s, nil, head).finish(end)
 }
 
-// peers returns what an ingress should know of the other upstreams of a service.
-func (d *Dispatcher) peers(head *wire.AttemptHead) []wire.PeerLoad {
-	if d.cfg.Peers == nil {
-		return nil
-	}
-	return d.cfg.Peers(head.Service, fleet.UpstreamID(head.Upstream))
-}
-
 // refuseForeign answers an attempt that an earlier process of this VM has
 // acknowledged. What that process did with it is not known here.
 func (d *Dispatcher) refuseForeign(s link.Stream, head *wire.AttemptHead, deadline time.Time) {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -251,7 +251,6 @@
 			Slots:         u.Slots,
 			InUse:         load.inUse,
 			Known:         load.known,
-			Fresh:         load.fresh,
 			Failing:       load.failing,
 			Queued:        load.queued(level),
 			Suspect:       u.Suspect || load.suspect || in.paths.troubled(u.Node),
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -89,9 +89,6 @@
 	}}
 	candidates, upstreams := s.in.candidates(s.v, s.rq.service.Name, s.rq.level, now)
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	if !c.req.Settled && balance.Saturated(c.req, candidates) {
-		c.settle()
-	}
 	for {
 		i, ok := balance.Pick(r, c.req, candidates)
 		switch {
@@ -120,20 +117,14 @@
 	return false
 }
 
-// settle makes the next attempt one that insists, at the best upstream by what is
-// known.
-func (c *selection) settle() {
-	c.noneLeft = true
-	c.req.Tried, c.req.Settled, c.req.CrossAllowed = c.tried, true, !c.overBytes
-}
-
 // widen allows upstreams that were left out so far, once no other is left. It
 // reports whether there may be any.
 func (c *selection) widen() bool {
 	switch {
 	case len(c.declined) > 0 && !c.req.Settled:
 		// Fewer upstreams are left than may decline.
-		c.settle()
+		c.noneLeft = true
+		c.req.Tried, c.req.Settled, c.req.CrossAllowed = c.tried, true, !c.overBytes
 	case !c.req.CrossAllowed && !c.overBytes:
 		c.req.CrossAllowed = true
 	default:
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -196,10 +196,9 @@
 	}
 	a.head.Insist, a.head.Repeat, a.head.LastRun = s.insists(), s.runs > 0, s.lastRun(now)
 	entry := s.in.loads.entry(u.ID)
-	entry.begin(now)
+	entry.begin()
 	e, end := a.run(ctx)
 	entry.finish(end, time.Now())
-	s.in.loads.learnPeers(end, time.Now())
 	e = s.fence(ctx, a, e)
 	s.noteUpstream(u, e, end)
 	s.trace = append(s.trace, AttemptTrace{u.ID, u.Node, time.Since(now), e.Outcome.String(), string(e.Reason)})
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -13,9 +13,6 @@
 	// loadFresh is how long a report of load is believed. Older reports would
 	// keep work away from an upstream that has recovered.
 	loadFresh = 2 * time.Second
-	// busyFresh is how long an upstream whose slots were all in use is held for
-	// busy. With five slots and work of 400 ms one becomes free every 80 ms.
-	busyFresh = 200 * time.Millisecond
 	// shedFresh is how long an admission threshold is believed. It is short, so
 	// that some requests go on to find out whether the overload is over.
 	shedFresh = 250 * time.Millisecond
@@ -28,11 +25,7 @@
 	suspect   bool
 	threshold admission.Threshold
 	at        time.Time
-	// thresholdAt is when the threshold was reported. Loads that come by way of
-	// third nodes carry none.
-	thresholdAt time.Time
-	known       bool // from a report that is still believed
-	fresh       bool // from a report of at most busyFresh ago
+	known     bool // from a report that is still believed
 	// failing is the probability that the upstream fails its work.
 	failing float64
 }
@@ -47,9 +40,8 @@
 type loadEntry struct {
 	mu       sync.Mutex
 	reported load
-	pending  int       // own attempts without an answer yet
-	atReport int       // pending when the report came
-	begunAt  time.Time // of the last own attempt
+	pending  int // own attempts without an answer yet
+	atReport int // pending when the report came
 }
 
 func newLoadTable() *loadTable { return &loadTable{entries: map[fleet.UpstreamID]*loadEntry{}} }
@@ -84,11 +76,10 @@
 	l := e.reported
 	l.known = true
 	age := now.Sub(l.at)
-	l.fresh = age <= busyFresh
 	if age > loadFresh {
 		return load{inUse: e.pending, threshold: admission.AdmitAll()}
 	}
-	if now.Sub(l.thresholdAt) > shedFresh {
+	if age > shedFresh {
 		l.threshold = admission.AdmitAll()
 	}
 	l.inUse += max(0, e.pending-e.atReport)
@@ -112,11 +103,10 @@
 }
 
 // begin counts an attempt on its way.
-func (e *loadEntry) begin(now time.Time) {
+func (e *loadEntry) begin() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pending++
-	e.begunAt = now
 }
 
 // finish counts an attempt that ended, with the load that its end reported. end
@@ -137,8 +127,6 @@
 		failing:   float64(l.FailingPercent) / 100,
 		threshold: l.Threshold(),
 		at:        now,
-
-		thresholdAt: now,
 	}
 }
 
--- a/node/new.go
+++ b/node/new.go
@@ -103,9 +103,6 @@
 		Upstreams:     n.options.Upstreams,
 		Failing:       n.reportFailing,
 		Repeated:      func(service string) { n.ingress.ChargeCalls(service) },
-		Peers: func(service string, except fleet.UpstreamID) []wire.PeerLoad {
-			return n.ingress.PeerLoads(service, except)
-		},
 	})
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -149,20 +149,6 @@
 	Message string `cbor:"6,keyasint,omitempty"`
 	// ServedMs is how long the upstream worked on the attempt, in milliseconds.
 	ServedMs int64 `cbor:"7,keyasint,omitempty"`
-	// Peers is what the dispatcher's node knows of other upstreams of the service.
-	Peers []PeerLoad `cbor:"8,keyasint,omitempty"`
-}
-
-// PeerLoad is the load of an upstream as a third node has heard of it.
-type PeerLoad struct {
-	Upstream string `cbor:"1,keyasint"`
-	// AgeMs is how long ago the upstream's own dispatcher reported it, in
-	// milliseconds.
-	AgeMs          int64        `cbor:"2,keyasint,omitempty"`
-	SlotsInUse     int          `cbor:"3,keyasint,omitempty"`
-	Ahead          []LevelQueue `cbor:"4,keyasint,omitempty"` // see Load
-	FailingPercent int          `cbor:"5,keyasint,omitempty"` // see Load
-	Suspect        bool         `cbor:"6,keyasint,omitempty"` // see Load
 }
 
 // Served returns how long the upstream worked on the attempt.
