Ask other regions less often after they have declined work

Ruled out: unused slots in the other region (its sound upstreams were at work all the time in these seconds). Change: 6 s in place of 2 s, and the way to another region weighs two rounds of work in a settled choice in place of one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -205,7 +205,7 @@
 	failingCost     = 4.0
 	failingCostLast = 8.0
 	// crossingCost weighs the way to another region.
-	crossingCost = 1.0
+	crossingCost = 2.0
 	// surelyFailing is the probability from which upstreams count as failing
 	// alike: when all fail, each goes on getting its part of the work.
 	surelyFailing = 0.5
--- a/ingress/tables.go
+++ b/ingress/tables.go
@@ -146,7 +146,7 @@
 // remoteBusy is how long an ingress keeps from asking the upstreams of a service
 // in other regions after one there has declined. Upstreams of a region fill up
 // together, and each question costs bytes on a narrow link.
-const remoteBusy = 2 * time.Second
+const remoteBusy = 6 * time.Second
 
 // crossingTable holds when other regions last declined work of a service.
 type crossingTable struct {
