Deliver an upstream's own server error if no other attempt answers

Cause: a server error of an idempotent request was held back for another attempt and thrown away; if that attempt found no slot or was lost, the caller got 502 in place of the answer that was there. Change: the answer is set aside, and delivered unless a later attempt brings one. Ruled out: sending it at once, before the other attempt: that would end requests that another upstream serves. Test: TestSpareAnswerIsDelivered.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"time"
@@ -24,6 +25,28 @@
 	received int64
 	// begun says that the caller has seen part of the answer.
 	begun bool
+	// spare is the server error of an earlier attempt. The caller gets it if no
+	// later attempt brings an answer.
+	spare *spareAnswer
+}
+
+// spareAnswer is a whole answer that is held back.
+type spareAnswer struct {
+	head *wire.AnswerHead
+	body []byte
+}
+
+// setAside keeps a whole answer while another attempt is made.
+func (o *answer) setAside() { o.spare = &spareAnswer{o.head, bytes.Clone(o.body)} }
+
+// restore takes up the answer that was set aside. It reports false if there is
+// none, or the caller has seen part of another one.
+func (o *answer) restore() bool {
+	if o.spare == nil || o.begun {
+		return false
+	}
+	o.head, o.body, o.received = o.spare.head, o.spare.body, int64(len(o.spare.body))
+	return true
 }
 
 // receive reads an answer up to its end. An error means that the route failed
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -104,6 +104,9 @@
 		if !s.again(budget, e) {
 			return last
 		}
+		if e.Outcome == outcome.Answered {
+			s.out.setAside()
+		}
 		s.in.stats.retries.Add(1)
 		// Membership may have moved on since the request came.
 		s.v = s.in.cfg.View()
@@ -207,6 +210,9 @@
 
 // finish answers the caller.
 func (s *serving) finish(w http.ResponseWriter, e outcome.Ended) {
+	if e.Outcome != outcome.Answered && s.out.restore() {
+		e = outcome.Ended{Outcome: outcome.Answered}
+	}
 	status := statusOf(e)
 	answered := e.Outcome == outcome.Answered
 	if answered {
