Collect the heap of platform processes after 40 percent of growth

The heaps are of a few megabytes, and by default the collector lets them double. Ruled out: read buffers of links and kernel buffers (not part of the heap's growth).

--- a/cmd/godwithub-platform/main.go
+++ b/cmd/godwithub-platform/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -20,7 +21,13 @@
 	"github.com/godwithub/godwithub/version"
 )
 
+// gcPercent is the growth of the heap, in percent, after which it is collected.
+// The VMs give the system a small slot of memory and its heaps are of a few
+// megabytes, so that more frequent collections cost little.
+const gcPercent = 40
+
 func main() {
+	debug.SetGCPercent(gcPercent)
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
