--- a/scenario/soak.go
+++ b/scenario/soak.go
@@ -25,8 +25,8 @@
 	soakControls = 3
 	// soakCallers is how many nodes callers use.
 	soakCallers = 3
-	// soakGap bounds the time between the begin of two faults, and soakLength
-	// that of one fault.
+	// The time between the begins of two faults is a quarter of soakGap and up to
+	// soakGap more. One fault lasts up to soakLength.
 	soakGap    = 900 * time.Millisecond
 	soakLength = 4 * time.Second
 	// soakTail is the time in which all faults have ended and requests go on.
@@ -120,31 +120,35 @@
 func (s Soak) steps(r *rand.Rand) []step {
 	var steps []step
 	busyUntil := map[string]time.Duration{}
-	for at := time.Second; at < s.Faults; {
+	for at := time.Second; at < s.Faults; at += soakGap/4 + randomPart(r, soakGap) {
 		faults, letter, targets := s.drawKind(r)
-		n := 1 + r.IntN(targets)
+		f, n := faults[r.IntN(len(faults))], 1+r.IntN(targets)
 		target := fmt.Sprint(letter, n)
-		if letter == "c" {
+		if letter == controlLetter {
 			// Two members of control that are away at once leave no majority.
-			target = "control"
+			target = letter
 		}
-		gap := soakGap/4 + time.Duration(r.Int64N(int64(soakGap)))
-		length := soakLength/10 + time.Duration(r.Int64N(int64(soakLength*9/10)))
-		f := faults[r.IntN(len(faults))]
-		if busyUntil[target] <= at {
-			busyUntil[target] = at + length + settleTime
-			steps = append(steps, step{at, numbered(f.begin, n)}, step{at + length, numbered(f.end, n)})
+		if busyUntil[target] > at {
+			continue
 		}
-		at += gap
+		end := at + soakLength/10 + randomPart(r, soakLength*9/10)
+		busyUntil[target] = end + settleTime
+		steps = append(steps, step{at, numbered(f.begin, n)}, step{end, numbered(f.end, n)})
 	}
 	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
 	return steps
 }
 
+// randomPart returns a random part of d.
+func randomPart(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
+
 // settleTime is the least time between two faults of one target, in which a
 // process starts again.
 const settleTime = 300 * time.Millisecond
 
+// controlLetter begins the names of members of control.
+const controlLetter = "c"
+
 // drawKind returns the faults of a kind of target, its letter in names, and the
 // number of targets.
 func (s Soak) drawKind(r *rand.Rand) ([]soakFault, string, int) {
@@ -152,7 +156,7 @@
 	case 0, 1:
 		return nodeFaults, "n", s.Nodes
 	case 2:
-		return controlFaults, "c", soakControls
+		return controlFaults, controlLetter, soakControls
 	case 3:
 		return linkFaults, "r", s.Nodes
 	}
