--- a/scenario/soak.go
+++ b/scenario/soak.go
@@ -120,9 +120,13 @@
 func (s Soak) steps(r *rand.Rand) []step {
 	var steps []step
 	busyUntil := map[string]time.Duration{}
-	for at := time.Second; at < s.Faults; at += soakGap/4 + randomPart(r, soakGap) {
+	gap := time.Duration(0)
+	for at := time.Second; at < s.Faults; at += gap {
 		faults, letter, targets := s.drawKind(r)
-		f, n := faults[r.IntN(len(faults))], 1+r.IntN(targets)
+		n := 1 + r.IntN(targets)
+		gap = soakGap/4 + randomPart(r, soakGap)
+		end := at + soakLength/10 + randomPart(r, soakLength*9/10)
+		f := faults[r.IntN(len(faults))]
 		target := fmt.Sprint(letter, n)
 		if letter == controlLetter {
 			// Two members of control that are away at once leave no majority.
@@ -131,7 +135,6 @@
 		if busyUntil[target] > at {
 			continue
 		}
-		end := at + soakLength/10 + randomPart(r, soakLength*9/10)
 		busyUntil[target] = end + settleTime
 		steps = append(steps, step{at, numbered(f.begin, n)}, step{end, numbered(f.end, n)})
 	}
@@ -140,7 +143,9 @@
 }
 
 // randomPart returns a random part of d.
-func randomPart(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
+func randomPart(r *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(d)))
+}
 
 // settleTime is the least time between two faults of one target, in which a
 // process starts again.
