Hold requests until the first configuration while a node starts

Cause: after all processes have ended, nodes are up again 0.3 to 0.6 s before control has a leader and hands the configuration out. Ruled out: the election (0.23 s after the start of control), upstreams that are not known yet (no request ended for lack of one). Change: a node that started less than 2 s ago holds a request until its first configuration, for half of the time that the caller waits at most. A node that is cut off answers 503 at once after that. Views tell that they are replaced by closing a channel.

--- a/board/board.go
+++ b/board/board.go
@@ -49,7 +49,7 @@
 			changed:  map[string]bool{},
 		},
 	}
-	b.view.Store(&View{Self: self})
+	b.view.Store(published(&View{Self: self}))
 	return b
 }
 
@@ -111,7 +111,8 @@
 	old := b.view.Load()
 	next := old.next(&b.state)
 	if next != old {
-		b.view.Store(next)
+		b.view.Store(published(next))
+		old.replace()
 	}
 	clear(b.state.changed)
 }
--- a/board/view.go
+++ b/board/view.go
@@ -20,6 +20,18 @@
 	Upstreams map[string][]Upstream
 	// Nodes holds the usable nodes other than Self, by ID.
 	Nodes []fleet.Node
+	// Replaced is closed once the board has published a later view. Nil in a
+	// view that no board has published.
+	Replaced <-chan struct{}
+
+	replace func()
+}
+
+// published returns v with a Replaced channel, which replace closes.
+func published(v *View) *View {
+	replaced := make(chan struct{})
+	v.Replaced, v.replace = replaced, func() { close(replaced) }
+	return v
 }
 
 // Upstream is an upstream with where it is.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -60,7 +60,8 @@
 	budgets map[string]*lockedBudget
 	limits  map[string]*callerLimit
 
-	active sync.WaitGroup
+	started time.Time
+	active  sync.WaitGroup
 	// ending ends when requests in hand have to be answered as they are.
 	ending    context.Context
 	interrupt context.CancelFunc
@@ -94,6 +95,7 @@
 	ending, interrupt := context.WithCancel(context.Background())
 	return &Ingress{
 		ending: ending, interrupt: interrupt,
+		started: time.Now(),
 		cfg:     cfg,
 		log:     cfg.Log,
 		loads:   newLoadTable(),
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -136,18 +136,30 @@
 	if !validKey(rq.key) {
 		return refuse(outcome.ReasonBadRequest, "%s: not up to %d printable ASCII characters", names.Key, maxKeyLength)
 	}
-	timeout := time.Duration(rq.kind.DeadlineMs) * time.Millisecond
-	if s := headerOf(h, names.TimeoutMs); s != "" {
-		ms, err := strconv.ParseInt(s, 10, 64)
-		if err != nil || ms < 1 || ms > maxTimeoutMs {
-			return refuse(outcome.ReasonBadRequest, "%s: %q is not a number from 1 to %d", names.TimeoutMs, s, maxTimeoutMs)
-		}
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	timeout, err := names.timeout(h)
+	if err != nil {
+		return err
+	}
+	if deadline := time.Duration(rq.kind.DeadlineMs) * time.Millisecond; timeout == 0 || timeout > deadline {
+		timeout = deadline
 	}
 	rq.deadline = rq.began.Add(timeout)
 	return nil
 }
 
+// timeout returns how long the caller waits. 0: it does not say.
+func (names *Protocol) timeout(h http.Header) (time.Duration, error) {
+	s := headerOf(h, names.TimeoutMs)
+	if s == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeoutMs {
+		return 0, refuse(outcome.ReasonBadRequest, "%s: %q is not a number from 1 to %d", names.TimeoutMs, s, maxTimeoutMs)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
 // headerOf returns a header that callers may send, or "" if it has no name.
 func headerOf(h http.Header, name string) string {
 	if name == "" {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -29,12 +29,13 @@
 	in.active.Add(1)
 	defer in.active.Done()
 	in.stats.requests.Add(1)
-	v := in.cfg.View()
+	began := time.Now()
+	v := in.awaitConfig(r, began)
 	if v.Leaving {
 		// The caller should open its next connection to another node.
 		w.Header().Set("Connection", "close")
 	}
-	rq, err := in.parse(v, r, time.Now())
+	rq, err := in.parse(v, r, began)
 	if err == nil && !in.withinRate(v, rq.caller) {
 		err = refuse(outcome.ReasonRateLimited, "caller %s is over its rate", rq.caller)
 	}
--- /dev/null
+++ b/ingress/startup_test.go
@@ -0,0 +1,66 @@
+package ingress
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/logging"
+)
+
+// startupCase is a request to a node that has been up for since, and gets its
+// configuration at configured after its start.
+type startupCase struct {
+	name              string
+	since, configured time.Duration
+	timeoutMs         string
+	held              time.Duration
+	want              int
+}
+
+// Guards against requests that are refused while the whole fleet starts, and
+// against ones that are held by a node that is cut off from all configurations.
+func TestRequestsAwaitFirstConfiguration(t *testing.T) {
+	for _, c := range []startupCase{
+		// Without an upstream the request is refused once its route is known.
+		{"configuration comes", 100 * time.Millisecond, 600 * time.Millisecond, "", 500 * time.Millisecond, http.StatusServiceUnavailable},
+		{"none comes", 100 * time.Millisecond, time.Hour, "", 1900 * time.Millisecond, http.StatusServiceUnavailable},
+		{"short time limit", 100 * time.Millisecond, time.Hour, "400", 200 * time.Millisecond, http.StatusServiceUnavailable},
+		{"cut off for long", 3 * time.Second, time.Hour, "", 0, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) { synctest.Test(t, c.play) })
+	}
+}
+
+func (c *startupCase) play(t *testing.T) {
+	replaced := make(chan struct{})
+	var view atomic.Pointer[board.View]
+	view.Store(&board.View{Replaced: replaced})
+	in := New(Config{Log: logging.Discard(), View: view.Load})
+	configure := time.AfterFunc(c.configured, func() {
+		view.Store(testView())
+		close(replaced)
+	})
+	defer configure.Stop()
+	time.Sleep(c.since)
+	r := httptest.NewRequest(http.MethodPost, "http://shop.example/orders", nil)
+	if c.timeoutMs != "" {
+		r.Header.Set(HeaderTimeoutMs, c.timeoutMs)
+	}
+	w := httptest.NewRecorder()
+	began := time.Now()
+	in.ServeHTTP(w, r)
+	assert.Equal(t, time.Since(began), c.held)
+	assert.Equal(t, w.Code, c.want, w.Body.String())
+	wantReason := "no-configuration"
+	if c.since+c.held == c.configured {
+		wantReason = "no-upstream"
+	}
+	assert.Equal(t, w.Header().Get(HeaderReason), wantReason)
+}
