Push changes inside the own failure domain first

Cause: pushes chose members of the region at random, so that half to two thirds of them crossed failure domains. Change: all targets of a push but one are in the own failure domain while there are enough; each of them tells one member elsewhere in turn. Ruled out: fewer targets (a change would take longer to spread). Tests of gossip as before.

--- a/gossip/bulk.go
+++ b/gossip/bulk.go
@@ -72,7 +72,7 @@
 	}
 	c.bulk.at = time.Time{}
 	c.views()
-	list := c.near()
+	list := c.near
 	if len(list) == 0 || c.rand.IntN(remotePushOdds) == 0 {
 		list = c.local
 		if len(list) == 0 || c.rand.IntN(remotePushOdds) == 0 && len(c.remote) > 0 {
@@ -84,14 +84,3 @@
 	}
 	return "", false
 }
-
-// near returns the other live members of the own failure domain.
-func (c *core) near() []*member {
-	var out []*member
-	for _, m := range c.local {
-		if m.meta.FailureDomain == c.self.meta.FailureDomain {
-			out = append(out, m)
-		}
-	}
-	return out
-}
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -50,8 +50,10 @@
 
 	// views of order, valid unless stale
 	local, remote, dead []*member
-	stale               bool
-	table               tableState
+	// near and far are the parts of local in the own failure domain and in others.
+	near, far []*member
+	stale     bool
+	table     tableState
 	// joining is true while no other live member is known.
 	joining bool
 
@@ -282,6 +284,7 @@
 	}
 	c.stale = false
 	c.local, c.remote, c.dead = c.local[:0], c.remote[:0], c.dead[:0]
+	c.near, c.far = c.near[:0], c.far[:0]
 	for _, m := range c.order {
 		switch {
 		case !m.known():
@@ -289,6 +292,11 @@
 			c.dead = append(c.dead, m)
 		case m.meta.Region == c.self.meta.Region:
 			c.local = append(c.local, m)
+			if m.meta.FailureDomain == c.self.meta.FailureDomain {
+				c.near = append(c.near, m)
+			} else {
+				c.far = append(c.far, m)
+			}
 		default:
 			c.remote = append(c.remote, m)
 		}
--- a/gossip/push.go
+++ b/gossip/push.go
@@ -85,7 +85,19 @@
 	case c.rand.IntN(remotePushOdds) == 0 || len(c.local) == 0:
 		remote = 1
 	}
-	return append(c.choose(c.local, fanout, ""), c.chooseRegions(remote)...)
+	return append(c.chooseLocal(fanout), c.chooseRegions(remote)...)
+}
+
+// chooseLocal returns up to n random members of the region, all but one of them in
+// the own failure domain while there are enough: each of these tells one member
+// elsewhere in turn, and traffic between failure domains is dear.
+func (c *core) chooseLocal(n int) []*member {
+	near := c.choose(c.near, n-1, "")
+	out := append(near, c.choose(c.far, n-len(near), "")...)
+	if missing := n - len(out); missing > 0 && len(out) < len(c.local) {
+		out = c.choose(c.local, n, "")
+	}
+	return out
 }
 
 // chooseRegions returns up to n random members of other regions, each of
