Compress the lists of full exchanges

Cause: records repeat names of regions, failure domains and services and parts of addresses; a start of a fleet sends each node some 20 KB of them, half of it from seeds in the other region. Change: parts from 1 KB on are compressed. The code for it moves from distribute to wire, so that there is one copy. Test: TestPackedParts, with a bound on what a small message may expand to; TestCompressedDelta as before but for the name of the error.

--- a/distribute/compress.go
+++ b/distribute/compress.go
@@ -1,10 +1,9 @@
 package distribute
 
 import (
-	"bytes"
-	"compress/flate"
 	"fmt"
-	"io"
+
+	"github.com/godwithub/godwithub/wire"
 )
 
 // minCompressed is the size of an encoded delta, in bytes, from which it is
@@ -23,34 +22,22 @@
 	if len(encoded) < minCompressed {
 		return encodedDelta{data: encoded}, nil
 	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	b, err := wire.Compress(encoded)
 	if err != nil {
-		return encodedDelta{}, fmt.Errorf("distribute: compress: %w", err)
-	}
-	if _, err := w.Write(encoded); err != nil {
-		return encodedDelta{}, fmt.Errorf("distribute: compress: %w", err)
+		return encodedDelta{}, fmt.Errorf("distribute: %w", err)
 	}
-	if err := w.Close(); err != nil {
-		return encodedDelta{}, fmt.Errorf("distribute: compress: %w", err)
-	}
-	return encodedDelta{bytes.Clone(b.Bytes()), true}, nil
+	return encodedDelta{b, true}, nil
 }
 
-// plain returns the encoded delta without compression. It returns errTooLarge
+// plain returns the encoded delta without compression. It returns wire.ErrTooLarge
 // for one over limit bytes.
 func (e encodedDelta) plain(limit int) ([]byte, error) {
 	if !e.compressed {
 		return e.data, nil
 	}
-	r := flate.NewReader(bytes.NewReader(e.data))
-	defer r.Close()
-	b, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	switch {
-	case err != nil:
-		return nil, fmt.Errorf("distribute: decompress: %w", err)
-	case len(b) > limit:
-		return nil, errTooLarge
+	b, err := wire.Expand(e.data, limit)
+	if err != nil {
+		return nil, fmt.Errorf("distribute: %w", err)
 	}
 	return b, nil
 }
--- a/distribute/compress_test.go
+++ b/distribute/compress_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/wire"
 )
 
 // Guards against deltas that are damaged by compression, and small messages that
@@ -22,7 +24,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(e.data) < len(large)/10, "%d of %d bytes", len(e.data), len(large))
 	_, err = e.plain(len(large) - 1)
-	assert.ErrorIs(t, err, errTooLarge)
+	assert.ErrorIs(t, err, wire.ErrTooLarge)
 	_, err = encodedDelta{e.data[:len(e.data)/2], true}.plain(len(large))
 	assert.ErrorContains(t, err, "decompress")
 }
--- a/gossip/start_test.go
+++ b/gossip/start_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/link"
 )
 
 const (
@@ -64,3 +65,24 @@
 		assert.Assert(t, sent < startNodes*45_000, "seed %d: %d bytes", seed, sent)
 	}
 }
+
+// Guards against parts that are not the same after their way, and against a small
+// message that expands without bound.
+func TestPackedParts(t *testing.T) {
+	s, _ := newStart(t, startNodes, 2, 1)
+	var part membersPart
+	for _, r := range s.nodes[0].recordsOf([]fleet.NodeID{"node-001", "node-002", "node-003", "node-004", "node-005", "node-006", "node-007", "node-008"}) {
+		part.Records = append(part.Records, mustEncode(r))
+	}
+	plain := mustEncode(part)
+	b, err := packed(plain)
+	assert.NilError(t, err)
+	assert.Assert(t, len(b) < len(plain)*2/3, "%d of %d bytes", len(b), len(plain))
+	got, err := unpacked(b)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Records, part.Records)
+	bomb, err := packed(make([]byte, 4*link.MaxPayload))
+	assert.NilError(t, err)
+	_, err = unpacked(bomb)
+	assert.ErrorIs(t, err, errMalformed)
+}
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,9 @@
 	maxPartBytes = link.MaxPayload - 1024
 	// maxParts bounds a list, at 16 MB.
 	maxParts = 256
+	// minPacked is the size of a part, in bytes, from which it is compressed. Records
+	// repeat names of regions, failure domains and services, and parts of addresses.
+	minPacked = 1 << 10
 	// checkInterval is the mean time between two looks at whether an exchange
 	// is due, and between two attempts of a node that knows no other.
 	checkInterval = time.Second
@@ -38,6 +42,8 @@
 	Records []cbor.RawMessage `cbor:"2,keyasint,omitempty"` // of record
 	Want    []fleet.NodeID    `cbor:"3,keyasint,omitempty"`
 	Last    bool              `cbor:"4,keyasint,omitempty"`
+	// Packed is a whole part, compressed. Nothing else is set beside it.
+	Packed []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // partWriter splits a list into parts that each fit a frame.
@@ -57,14 +63,46 @@
 }
 
 func (w *partWriter) flush() {
-	b := mustEncode(w.part)
+	b, err := packed(mustEncode(w.part))
 	w.total += len(b)
-	if w.err == nil {
+	if w.err = cmp.Or(w.err, err); w.err == nil {
 		w.err = w.s.WriteFrame(wire.FrameMembers, b)
 	}
 	w.part, w.bytes = membersPart{}, 0
 }
 
+// packed returns an encoded part as it travels.
+func packed(part []byte) ([]byte, error) {
+	if len(part) < minPacked {
+		return part, nil
+	}
+	b, err := wire.Compress(part)
+	if err != nil {
+		return nil, fmt.Errorf("gossip: %w", err)
+	}
+	return mustEncode(membersPart{Packed: b}), nil
+}
+
+// unpacked decodes a part that may be compressed.
+func unpacked(payload []byte) (membersPart, error) {
+	var p membersPart
+	if err := streamDecoding.Unmarshal(payload, &p); err != nil {
+		return p, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	if p.Packed == nil {
+		return p, nil
+	}
+	plain, err := wire.Expand(p.Packed, link.MaxPayload)
+	if err != nil {
+		return p, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	p = membersPart{}
+	if err := streamDecoding.Unmarshal(plain, &p); err != nil {
+		return p, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	return p, nil
+}
+
 // writeParts sends a list and returns its size in bytes.
 func writeParts(s link.Stream, digests []digest, records []record, want []fleet.NodeID) (int, error) {
 	w := &partWriter{s: s}
@@ -97,9 +135,9 @@
 
 // add takes one part and reports whether it was the last one.
 func (l *memberList) add(payload []byte) (last bool, err error) {
-	var p membersPart
-	if err := streamDecoding.Unmarshal(payload, &p); err != nil {
-		return false, fmt.Errorf("%w: %w", errMalformed, err)
+	p, err := unpacked(payload)
+	if err != nil {
+		return false, err
 	}
 	l.bytes += len(payload)
 	for _, raw := range p.Digests {
