Run loads again whose upstreams were slower than their script says

Its checks presume that the upstreams run 200 requests/s; in that run they did 135/s, little more than the 110/s of the other kinds and the share of the flood's rank. Change: 'load paced' compares the mean time of a run at the upstreams, from their own log, with the script's.

--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -20,6 +20,8 @@
 //	relay silence NAME                   open connections stay silent for good, new ones work
 //	relay break NAME                     close all connections
 //	load run NAME [FLAG...]              run godwithub-load to its end
+//	load paced NAME LIMIT [FLAG...]      run it, and again while runs at upstreams take
+//	                                     over LIMIT on average: then the machine pauses
 //	load start NAME [FLAG...]            run it beside the script
 //	load wait NAME [BOUND]               wait for its end
 //	report NAME PATH OP NUMBER           compare a figure of a load's JSON report
--- a/scenario/load.go
+++ b/scenario/load.go
@@ -22,7 +22,7 @@
 
 func loadCommand(w *world, ts *testscript.TestScript, args []string) error {
 	if len(args) < 2 {
-		return misused("usage: load run|start|wait NAME ...")
+		return misused("usage: load run|paced|start|wait NAME ...")
 	}
 	action, name, rest := args[0], args[1], args[2:]
 	switch action {
@@ -33,6 +33,11 @@
 			return err
 		}
 		return w.waitLoad(ts, name, loadBound)
+	case "paced":
+		if len(rest) == 0 {
+			return misused("usage: load paced NAME LIMIT [FLAG...]")
+		}
+		return w.runPaced(ts, name, rest[0], rest[1:])
 	case "wait":
 		bound := loadBound
 		if len(rest) == 1 {
