--- a/link/link.go
+++ b/link/link.go
@@ -78,6 +78,32 @@
 	Close() error
 }
 
+// FrameWriter writes frames to a byte stream by way of a buffer that it reuses.
+type FrameWriter struct {
+	w   io.Writer
+	buf []byte
+}
+
+// NewFrameWriter returns a writer of frames to w.
+func NewFrameWriter(w io.Writer) *FrameWriter { return &FrameWriter{w: w} }
+
+// BufferFrame keeps a frame for the next WriteFrame.
+func (f *FrameWriter) BufferFrame(t FrameType, payload []byte) error {
+	var err error
+	f.buf, err = AppendFrame(f.buf, t, payload)
+	return err
+}
+
+// WriteFrame writes a frame, after those that were kept.
+func (f *FrameWriter) WriteFrame(t FrameType, payload []byte) error {
+	if err := f.BufferFrame(t, payload); err != nil {
+		return err
+	}
+	_, err := f.w.Write(f.buf)
+	f.buf = f.buf[:0]
+	return err
+}
+
 // FrameReader reads frames from a byte stream into a buffer that it reuses.
 type FrameReader struct {
 	r      io.Reader
--- a/link/quiclink/quiclink.go
+++ b/link/quiclink/quiclink.go
@@ -226,31 +226,14 @@
 }
 
 type stream struct {
-	s      *quic.Stream
-	conn   *quic.Conn
-	reader *link.FrameReader
-	out    []byte
+	*link.FrameReader
+	*link.FrameWriter
+	s    *quic.Stream
+	conn *quic.Conn
 }
 
 func newStream(s *quic.Stream, conn *quic.Conn) *stream {
-	return &stream{s: s, conn: conn, reader: link.NewFrameReader(bufio.NewReaderSize(s, readBuffer))}
-}
-
-func (s *stream) ReadFrame() (link.Frame, error) { return s.reader.ReadFrame() }
-
-func (s *stream) BufferFrame(t link.FrameType, payload []byte) error {
-	var err error
-	s.out, err = link.AppendFrame(s.out, t, payload)
-	return err
-}
-
-func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
-	if err := s.BufferFrame(t, payload); err != nil {
-		return err
-	}
-	_, err := s.s.Write(s.out)
-	s.out = s.out[:0]
-	return err
+	return &stream{link.NewFrameReader(bufio.NewReaderSize(s, readBuffer)), link.NewFrameWriter(s), s, conn}
 }
 
 func (s *stream) SetReadDeadline(t time.Time) error { return s.s.SetReadDeadline(t) }
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -136,7 +136,7 @@
 			return nil, fmt.Errorf("tlslink: dial %s: %w", addr, err)
 		}
 	}
-	return &stream{conn: c, done: func() { d.put(addr, c) }}, nil
+	return &stream{FrameWriter: link.NewFrameWriter(c), conn: c, done: func() { d.put(addr, c) }}, nil
 }
 
 // take returns an idle connection, or a channel that will bring one.
@@ -369,7 +369,7 @@
 		}
 		c.SetReadDeadline(time.Time{})
 		ended := make(chan bool, 1)
-		s := &stream{conn: c, done: func() { ended <- true }, broken: func() { ended <- false }}
+		s := &stream{FrameWriter: link.NewFrameWriter(c), conn: c, done: func() { ended <- true }, broken: func() { ended <- false }}
 		if !l.queue.Put(s) || !<-ended {
 			return
 		}
@@ -401,8 +401,8 @@
 }
 
 type stream struct {
+	*link.FrameWriter
 	conn *conn
-	out  []byte
 	once sync.Once
 	// done and broken end the exchange; broken may be nil.
 	done, broken func()
@@ -410,21 +410,6 @@
 
 func (s *stream) ReadFrame() (link.Frame, error) { return s.conn.reader.ReadFrame() }
 
-func (s *stream) BufferFrame(t link.FrameType, payload []byte) error {
-	var err error
-	s.out, err = link.AppendFrame(s.out, t, payload)
-	return err
-}
-
-func (s *stream) WriteFrame(t link.FrameType, payload []byte) error {
-	if err := s.BufferFrame(t, payload); err != nil {
-		return err
-	}
-	_, err := s.conn.Write(s.out)
-	s.out = s.out[:0]
-	return err
-}
-
 func (s *stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
 
 func (s *stream) Reset() {
