Start both daemons of the platform in one place, and log reloads

Cause: node and control repeated each other's start in the platform's program, and a change of the settings file left no line in the log, which on-call engineers are promised. Change: runDaemon checks, logs and runs either. At SIGHUP the settings are read again; a line names those that differ, or the fault. They are in force at the next start: seeds are only for starts, and other control members are known from membership. Ruled out: taking seeds over while running (membership knows the members by then). Test: TestChangedSettings. go vet, go test ./platform.

--- a/cmd/godwithub-platform/main.go
+++ b/cmd/godwithub-platform/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -47,65 +48,95 @@
 	if err := parser.ParseArgs(args); err != nil {
 		return err
 	}
+	// Without a handler the signal would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	set, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
-	// A change of the settings file needs nothing: what it may change is known
-	// from membership.
-	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	switch {
 	case asNode.Used:
-		return runNode(ctx, set)
+		own := set.Node()
+		return runDaemon(ctx, set, reload, &own, own.LogFormat, own.LogLevel, func(log *slog.Logger) (daemon, error) { return newNode(set, own, log) })
 	case asControl.Used:
-		return runControl(ctx, set)
+		own := set.ControlMember()
+		return runDaemon(ctx, set, reload, &own, own.LogFormat, own.LogLevel, func(log *slog.Logger) (daemon, error) { return newControl(own, log) })
 	}
 	return errors.New("godwithub-platform: node or control has to be named")
 }
 
-// check applies the rules of a daemon's own settings.
-func check(set interface{ Check() error }) error {
-	return errors.Join(settings.Check(set), set.Check())
+// daemon runs until its context ends.
+type daemon interface {
+	Run(ctx context.Context) error
 }
 
-func runNode(ctx context.Context, p *platform.Settings) error {
-	set := p.Node()
-	if err := check(&set); err != nil {
+// runDaemon checks the settings of a daemon, which come from those of the platform,
+// and runs it.
+func runDaemon(ctx context.Context, p *platform.Settings, reload <-chan os.Signal, own interface{ Check() error }, format, level string, start func(*slog.Logger) (daemon, error)) error {
+	if err := errors.Join(settings.Check(own), own.Check()); err != nil {
 		return err
 	}
-	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(set.LogFormat), set.LogLevel)
+	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(format), level)
 	if err != nil {
 		return err
 	}
 	defer flush()
-	n, err := node.New(set, log, node.Options{
-		Join: node.JoinFleet(set), Callers: platform.Callers(), Upstreams: platform.Upstreams(),
-		Announcements: platform.Announcements(p.HeartbeatInterval),
-	})
+	go watchSettings(ctx, p, reload, logging.Part(log, "settings"))
+	d, err := start(log)
 	if err != nil {
 		return err
 	}
-	return n.Run(ctx)
+	return d.Run(ctx)
 }
 
-func runControl(ctx context.Context, p *platform.Settings) error {
-	set := p.ControlMember()
-	if err := check(&set); err != nil {
-		return err
-	}
-	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(set.LogFormat), set.LogLevel)
-	if err != nil {
-		return err
+// watchSettings reads the settings again at each signal, and logs what they change.
+// The processes need none of it before their next start: seeds are for that, and
+// other control members are known from membership.
+func watchSettings(ctx context.Context, inForce *platform.Settings, reload <-chan os.Signal, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+		}
+		next, err := platform.LoadSettings()
+		if err != nil {
+			log.Warn("settings were not read again; the former stay in force", "fault", err)
+			continue
+		}
+		log.Info("settings were read again", "changed_at_next_start", inForce.Changed(next))
 	}
-	defer flush()
+}
+
+func newNode(p *platform.Settings, own node.Settings, log *slog.Logger) (daemon, error) {
+	return node.New(own, log, node.Options{
+		Join: node.JoinFleet(own), Callers: platform.Callers(), Upstreams: platform.Upstreams(),
+		Announcements: platform.Announcements(p.HeartbeatInterval),
+	})
+}
+
+// controlDaemon is a member of the control group with the fleet that it belongs to.
+type controlDaemon struct {
+	*controld.Daemon
+	fleet *controld.Fleet
+}
+
+// Run implements daemon.
+func (d controlDaemon) Run(ctx context.Context) error {
+	defer d.fleet.Close()
+	return d.Daemon.Run(ctx)
+}
+
+func newControl(own controld.Settings, log *slog.Logger) (daemon, error) {
 	fleet, options := controld.NewFleet()
 	options.Replicate, options.API = controld.Replicate, platform.OperatorAPI
-	defer fleet.Close()
-	d, err := controld.New(set, log, options)
+	d, err := controld.New(own, log, options)
 	if err != nil {
-		return err
+		fleet.Close()
+		return nil, err
 	}
-	return d.Run(ctx)
+	return controlDaemon{d, fleet}, nil
 }
