Probe failing upstreams every 1.25 s at most

While half of the nodes restart, few other upstreams are left, and such a part of them is below the floor. Ruled out: upstreams that no node knew (all had joined, all probes were answered in 1 ms), a full queue (no slot in use). Change: the interval grows to 1.25 s. Test: TestFailingUpstreamKeepsSomeWork, 'no work for 1.5s' before (failed).

--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -16,9 +16,11 @@
 	// minProbeInterval follows the first failure. The interval grows by
 	// probeBackoff with each probe that fails, up to maxProbeInterval. It stays
 	// where upstreams can be ejected: the probes are the evidence for a permit,
-	// and end with the ejection.
+	// and end with the ejection. Idempotent requests come at their own pace, and an
+	// upstream without any work for 2 s counts as taken out, which a service's floor
+	// allows for a part of its upstreams only.
 	minProbeInterval = time.Second
-	maxProbeInterval = 2500 * time.Millisecond
+	maxProbeInterval = 1250 * time.Millisecond
 	probeBackoff     = 1.4
 )
 
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -55,6 +55,21 @@
 	assert.Assert(t, probes >= 8, "%d probes in 10 s", probes)
 }
 
+// Guards against upstreams that get no work for 2 s because they fail, although they
+// may have recovered: with many of them a service is below its floor.
+func TestFailingUpstreamKeepsSomeWork(t *testing.T) {
+	u, now := grayUpstream()
+	u.learn(now, now, true)
+	last := now
+	for at := now; at.Before(now.Add(30 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		if u.decline(at, &wire.AttemptHead{Idempotent: true}) == outcome.ReasonNone {
+			last = at
+			u.learn(at, at, true)
+		}
+		assert.Assert(t, at.Sub(last) < 1500*time.Millisecond, "no work for %v", at.Sub(last))
+	}
+}
+
 // Guards against an upstream that stays out for long after it has recovered:
 // each probe that succeeds is followed by the next at once.
 func TestRecoveredUpstreamReturns(t *testing.T) {
