Wait for a quarter of the time without control at most

Cause: feeders double their wait after each round of failed watches. Ruled out: the watch's own pace (a watch that control accepts brings the configuration at once), the spread (0.3 s for most nodes).

--- a/distribute/distribute_test.go
+++ b/distribute/distribute_test.go
@@ -223,3 +223,32 @@
 	assert.Equal(t, len(r.nodes), 2)
 	assert.Assert(t, r.own < 2)
 }
+
+// Guards against nodes that start before control and get no configuration for long
+// after it is there: feeders whose waits have doubled again and again ask late.
+func TestControlThatStartsLateIsNoticed(t *testing.T) {
+	const (
+		repeats = 20
+		// spreadTime is the time that a configuration takes from a feeder to the others.
+		spreadTime = 100 * time.Millisecond
+	)
+	for i := range repeats {
+		late := time.Duration(1+i%4) * time.Second / 2
+		synctest.Test(t, func(t *testing.T) {
+			net := newNetwork(t)
+			defer net.stop()
+			v := change(t, net.control(controls[0]), resource.NewSet(resource.Version{Epoch: 1}))
+			net.setRefused(isControl)
+			var nodes []*host
+			for i := range 6 {
+				nodes = append(nodes, net.node(i, 1, controls[0]))
+			}
+			time.Sleep(late)
+			net.setRefused(nil)
+			took := within(t, time.Minute, v, nodes...)
+			t.Logf("%v late: configured after %v", late, took)
+			limit := time.Duration(retryPart*float64(late)) + spreadTime
+			assert.Assert(t, took <= limit, "%v late: %v, want %v", late, took, limit)
+		})
+	}
+}
--- a/distribute/feeder.go
+++ b/distribute/feeder.go
@@ -118,12 +118,22 @@
 		if tries%len(controls) != 0 {
 			continue
 		}
-		if !sleep(ctx, wait.next()) {
+		if !sleep(ctx, min(wait.next(), f.longestWait(time.Since(lost)))) {
 			return
 		}
 	}
 }
 
+// retryPart is the part of the time without control that a feeder waits at most
+// before it tries again. Control that returns after a short absence is found soon,
+// and one that is away for long is not asked all the time.
+const retryPart = 0.25
+
+// longestWait returns the longest wait after control has been lost for a time.
+func (f *Follower) longestWait(lost time.Duration) time.Duration {
+	return max(f.cfg.BackoffMin, time.Duration(retryPart*float64(lost)))
+}
+
 // watch takes what one control sends until the stream breaks. answered says
 // whether control sent anything and was not behind.
 func (f *Follower) watch(ctx context.Context, addr string) (answered bool, err error) {
--- a/distribute/net_test.go
+++ b/distribute/net_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -25,6 +26,8 @@
 	mu    sync.Mutex
 	hosts map[string]*host // by address
 	cut   func(from, to string) bool
+	// refused says whether an address refuses new streams.
+	refused func(to string) bool
 }
 
 type host struct {
@@ -48,6 +51,18 @@
 	n.cut = cut
 }
 
+func (n *network) setRefused(refused func(to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused = refused
+}
+
+func (n *network) refuses(to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.refused != nil && n.refused(to)
+}
+
 // silent reports whether nothing gets from one address to another.
 func (n *network) silent(from, to string) bool {
 	n.mu.Lock()
@@ -68,6 +83,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if d.n.refuses(addr) {
+		return nil, errors.New("connection refused")
+	}
 	ended := make(chan struct{})
 	end := sync.OnceFunc(func() { close(ended) })
 	there, back := make(chan link.Frame, 1024), make(chan link.Frame, 1024)
