Keep answers of ended attempts for 10 s in place of 60

Cause: memory at its peak is dear on the users' platform, and each dispatcher kept the answers of a minute for resends that come within 3 s. Change: answers are dropped after 10 s; ids are kept for 60 s as before, so that nothing runs twice. A resend that finds no answer is told that the attempt has run. Duplicates read the answer under the lock: the head could be dropped while it was read.

--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -13,6 +13,10 @@
 	// rememberAttempts is how long the id of an ended attempt is kept. An
 	// ingress resends within a few round trips, and never after the deadline.
 	rememberAttempts = 60 * time.Second
+	// keepAnswers is how long the answer of an ended attempt is kept. An ingress takes
+	// a silent path for failed after 1.5 s and tries two others for less than a second
+	// each; it hears of a later resend that the attempt has run.
+	keepAnswers = 10 * time.Second
 	// maxReplay is the largest body kept for a resend, in bytes.
 	maxReplay = 64 << 10
 	// maxReplayTotal bounds all kept bodies of a node, in bytes.
@@ -43,7 +47,7 @@
 	ended    bool
 	head     *wire.AnswerHead
 	body     []byte
-	// bodyGone says that the body was too large to keep.
+	// bodyGone says that the answer was too large to keep, or has been dropped.
 	bodyGone bool
 	end      wire.AnswerEnd
 }
@@ -79,14 +83,19 @@
 	a.body = append(a.body, b...)
 }
 
-// dropBody frees the kept body and returns its size.
-func (a *attempt) dropBody() int {
+// answer returns the answer of an ended attempt. kept is false if it was dropped.
+func (a *attempt) answer() (head *wire.AnswerHead, body []byte, kept bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head, a.body, !a.bodyGone
+}
+
+// dropAnswer frees the kept answer and returns the size of its body.
+func (a *attempt) dropAnswer() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := len(a.body)
-	if n > 0 {
-		a.body, a.bodyGone = nil, true
-	}
+	a.head, a.body, a.bodyGone = nil, nil, true
 	return n
 }
 
@@ -97,7 +106,7 @@
 	// ended holds the ended attempts, the oldest first, from index first on.
 	ended []endedAttempt
 	first int
-	// dropped is the index below which bodies have been dropped.
+	// dropped is the index below which answers have been dropped.
 	dropped int
 	kept    int // bytes of kept bodies
 }
@@ -170,18 +179,24 @@
 	defer r.mu.Unlock()
 	r.ended = append(r.ended, endedAttempt{a, time.Now()})
 	r.kept += size
+	r.dropAnswers(time.Now())
+}
+
+// dropAnswers frees answers that are old, or more than may be kept. r.mu is held.
+func (r *registry) dropAnswers(now time.Time) {
 	r.dropped = max(r.dropped, r.first)
-	for r.kept > maxReplayTotal && r.dropped < len(r.ended) {
-		r.kept -= r.ended[r.dropped].a.dropBody()
+	for r.dropped < len(r.ended) && (r.kept > maxReplayTotal || now.Sub(r.ended[r.dropped].at) > keepAnswers) {
+		r.kept -= r.ended[r.dropped].a.dropAnswer()
 		r.dropped++
 	}
 }
 
 // expire forgets attempts that ended long ago. r.mu is held.
 func (r *registry) expire(now time.Time) {
+	r.dropAnswers(now)
 	for r.first < len(r.ended) && now.Sub(r.ended[r.first].at) > rememberAttempts {
 		e := &r.ended[r.first]
-		r.kept -= e.a.dropBody()
+		r.kept -= e.a.dropAnswer()
 		delete(r.attempts, e.a.id)
 		*e = endedAttempt{}
 		r.first++
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -164,13 +164,14 @@
 	<-a.done
 	stop()
 	end := a.end
+	answerHead, body, kept := a.answer()
 	switch {
 	case end.Outcome != outcome.Answered:
-	case a.bodyGone:
+	case !kept:
 		end = wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerGone}
 	default:
-		w.head(a.head)
-		w.data(a.body)
+		w.head(answerHead)
+		w.data(body)
 	}
 	w.finish(end)
 }
