--- a/cmd/godwithub-platform/main.go
+++ b/cmd/godwithub-platform/main.go
@@ -60,10 +60,12 @@
 	switch {
 	case asNode.Used:
 		own := set.Node()
-		return runDaemon(ctx, set, reload, &own, own.LogFormat, own.LogLevel, func(log *slog.Logger) (daemon, error) { return newNode(set, own, log) })
+		start := func(log *slog.Logger) (daemon, error) { return newNode(set, own, log) }
+		return launch{&own, own.LogFormat, own.LogLevel, start}.run(ctx, set, reload)
 	case asControl.Used:
 		own := set.ControlMember()
-		return runDaemon(ctx, set, reload, &own, own.LogFormat, own.LogLevel, func(log *slog.Logger) (daemon, error) { return newControl(own, log) })
+		start := func(log *slog.Logger) (daemon, error) { return newControl(own, log) }
+		return launch{&own, own.LogFormat, own.LogLevel, start}.run(ctx, set, reload)
 	}
 	return errors.New("godwithub-platform: node or control has to be named")
 }
@@ -73,19 +75,26 @@
 	Run(ctx context.Context) error
 }
 
-// runDaemon checks the settings of a daemon, which come from those of the platform,
-// and runs it.
-func runDaemon(ctx context.Context, p *platform.Settings, reload <-chan os.Signal, own interface{ Check() error }, format, level string, start func(*slog.Logger) (daemon, error)) error {
-	if err := errors.Join(settings.Check(own), own.Check()); err != nil {
+// launch is what the start of a daemon needs.
+type launch struct {
+	own                 interface{ Check() error } // its settings, a pointer
+	logFormat, logLevel string
+	start               func(*slog.Logger) (daemon, error)
+}
+
+// run checks the daemon's settings, which come from those of the platform, and runs
+// it. reload brings a signal whenever the platform's settings may have changed.
+func (l launch) run(ctx context.Context, p *platform.Settings, reload <-chan os.Signal) error {
+	if err := errors.Join(settings.Check(l.own), l.own.Check()); err != nil {
 		return err
 	}
-	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(format), level)
+	log, flush, err := logging.NewDaemon(ctx, os.Stdout, logging.Format(l.logFormat), l.logLevel)
 	if err != nil {
 		return err
 	}
 	defer flush()
 	go watchSettings(ctx, p, reload, logging.Part(log, "settings"))
-	d, err := start(log)
+	d, err := l.start(log)
 	if err != nil {
 		return err
 	}
