Explain a request from the logs of all processes

Cause: godwithub explain asked the node that took the request, which forgets it and may be gone; on-call engineers have logs only, and had to search those of several processes by hand. Change: package explain reads JSON logs, from files, a folder or a stream, and tells the story of a request: its own lines at all processes, what was last known of each upstream that was asked, starts and stops of the nodes involved, failed paths, and the cause in a sentence. Ruled out: a store for traces (the users ask for logs and metrics only). Open: the ingress writes the rank under the key that the log's level has as well.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -202,3 +202,14 @@
 	assert.NilError(t, err)
 	return string(b)
 }
+
+// Guards against a cause that is in the logs and does not reach the operator.
+func TestExplainFromLogs(t *testing.T) {
+	const log = `vm-1 {"time":"2026-03-02T06:29:09Z","msg":"ingress: request ended","request":"r1","status":502,"outcome":"unknown","reason":"short-answer","ms":12,"attempts":"u2@n2 unknown/short-answer after 9 ms"}` + "\n"
+	var out, errs bytes.Buffer
+	code := Run(t.Context(), []string{"explain", "r1", "--logs", "-"}, Streams{In: strings.NewReader(log), Out: &out, Err: &errs})
+	assert.Equal(t, code, ExitOK, "%s", &errs)
+	assert.Assert(t, strings.Contains(out.String(), "12ms") && strings.Contains(out.String(), "bytes of the upstream's answer were missing"), "%s", &out)
+	code = Run(t.Context(), []string{"explain", "r2", "--logs", "-"}, Streams{In: strings.NewReader(log), Out: &out, Err: &errs})
+	assert.Equal(t, code, ExitFailure)
+}
--- a/cli/reports.go
+++ b/cli/reports.go
@@ -16,6 +16,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"github.com/godwithub/godwithub/burn"
+	"github.com/godwithub/godwithub/explain"
 	"github.com/godwithub/godwithub/fleet"
 )
 
@@ -24,6 +25,7 @@
 	plot      string // file for a plot; empty: none
 	requestID string
 	debugAddr string
+	logs      string // file or folder of logs; "-": standard input
 }
 
 func (a *app) addReports() {
@@ -31,9 +33,10 @@
 	reports := a.group("report", "Prints reports.")
 	b := a.add(reports, "burn", "Prints how fast services use up their error budgets.", a.reportBurn)
 	b.String(&a.reports.plot, "", "plot", "file for a plot of the burn (.png, .svg or .pdf)")
-	e := a.add(a.parser, "explain", "Prints the path, attempts and reasons of one recent request. Run it on the VM of the node that took the request.", a.explain)
+	e := a.add(a.parser, "explain", "Prints the path, attempts and reasons of one request, from the node that took it or from logs.", a.explain)
 	e.AddPositionalValue(&a.reports.requestID, "REQUEST", 1, true, "id from the Godwithub-Request-Id header")
-	e.String(&a.reports.debugAddr, "", "debug-addr", "debug address of the node")
+	e.String(&a.reports.debugAddr, "", "debug-addr", "debug address of the node, on its VM")
+	e.String(&a.reports.logs, "", "logs", "file or folder with JSON logs of all processes, or - for standard input")
 }
 
 func (a *app) fleet(ctx context.Context) error {
@@ -147,11 +150,14 @@
 }
 
 func (a *app) explain(ctx context.Context) error {
+	if a.reports.logs != "" {
+		return a.explainFromLogs()
+	}
 	if a.reports.debugAddr == "" {
 		a.reports.debugAddr = os.Getenv("GODWITHUB_DEBUG_ADDR")
 	}
 	if a.reports.debugAddr == "" {
-		return usagef("--debug-addr is missing")
+		return usagef("--debug-addr or --logs is missing")
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.reports.debugAddr+"/v1/explain/"+a.reports.requestID, nil)
 	if err != nil {
@@ -171,3 +177,27 @@
 	}
 	return a.printJSON(json.RawMessage(body))
 }
+
+// explainFromLogs tells the story of a request over all processes.
+func (a *app) explainFromLogs() error {
+	lines, err := explain.ReadPath(a.reports.logs, a.In)
+	if err != nil {
+		return err
+	}
+	story, err := explain.Tell(lines, a.reports.requestID)
+	if err != nil {
+		return err
+	}
+	if a.json() {
+		return a.printJSON(story)
+	}
+	t := newTable(a.Out, "AFTER", "PROCESS", "WHAT")
+	for _, s := range story.Steps {
+		t.row(s.At.Sub(story.Came).Round(time.Millisecond).String(), s.Source, s.Text)
+	}
+	if err := t.flush(); err != nil {
+		return err
+	}
+	a.printf("\ncame at %s; cause: %s\n", story.Came.Format(time.RFC3339Nano), story.Cause)
+	return nil
+}
