Look again at an upstream that still accepts connections after one broke

From the logs: its first sending crashed u1, u4 and u5 within 6 ms, and the next one, 0.6 s later, was let in at the same node and crashed u1 and u4 again. A crash is reported if the upstream refuses connections right after one broke; the listener of an ending process closes a moment after its connections, and on a busy machine the look came between. The node had not taken any of the crashes for one. Ruled out: reports that were late (0.6 s passed, two of the crashes were at the node itself), a fingerprint that was cleared (no such request is ever answered). Change: an upstream that still accepts is looked at once more after 30 ms. The request in hand does not wait for it.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -11,25 +11,43 @@
 // broken connection. It stays on the VM.
 const crashProbeTimeout = 200 * time.Millisecond
 
+// crashRecheck is the wait before the second look at an upstream that still accepts
+// connections. Those of an ending process break a moment before its listener closes.
+const crashRecheck = 30 * time.Millisecond
+
 // checkCrash reports the requests in flight at u if it no longer accepts
-// connections, and tells whether that is so. It is called before the request
-// that found the broken connection gives its slot back.
+// connections, and tells whether that is known already. It is called before the
+// request that found the broken connection gives its slot back.
 func (d *Dispatcher) checkCrash(u *upstream) bool {
 	inFlight := u.inFlight()
-	conn, err := net.DialTimeout("tcp", u.addr, crashProbeTimeout)
+	if refuses(u.addr) {
+		d.crashed(u, inFlight)
+		return true
+	}
+	time.AfterFunc(crashRecheck, func() {
+		if refuses(u.addr) {
+			d.crashed(u, inFlight)
+		}
+	})
+	return false
+}
+
+// refuses reports whether nothing listens at addr.
+func refuses(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, crashProbeTimeout)
 	if err == nil {
 		conn.Close()
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
 	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// crashed tells the fleet which requests were in flight, and withdraws u.
+func (d *Dispatcher) crashed(u *upstream, inFlight []uint64) {
 	d.log.Warn("upstream crashed", "upstream", u.id, "in_flight", len(inFlight))
 	if d.cfg.Crashes != nil {
 		d.cfg.Crashes.Crashed(u.id, u.service, inFlight)
 	}
 	d.refusesConnections(u)
-	return true
 }
 
 // refusesConnections withdraws an upstream whose process is gone. With all its
--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/logging"
+)
+
+// crashLog takes reports of crashes.
+type crashLog chan []uint64
+
+func (c crashLog) Refused(uint64) bool                                         { return false }
+func (c crashLog) Crashed(_ fleet.UpstreamID, _ string, fingerprints []uint64) { c <- fingerprints }
+func (c crashLog) Completed(uint64)                                            {}
+
+// Guards against a crash that goes unnoticed because the listener of the ending
+// process closes a moment after its connections: the request would go on to crash
+// others.
+func TestListenerClosesAfterConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	reports := make(crashLog, 1)
+	d := New(Config{Log: logging.Discard(), Crashes: reports, Gone: func(fleet.UpstreamID) {}})
+	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: ln.Addr().String(), Slots: 1}, time.Now())
+	u.running[1] = 42
+	assert.Assert(t, !d.checkCrash(u), "the listener still accepts")
+	assert.NilError(t, ln.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case fingerprints := <-reports:
+			assert.DeepEqual(t, fingerprints, []uint64{42})
+			return poll.Success()
+		default:
+			return poll.Continue("no crash was reported")
+		}
+	}, poll.WithTimeout(2*time.Second), poll.WithDelay(5*time.Millisecond))
+}
