Log the rank of a request under a key of its own

The line of an ended request had 'level' twice: that of the log and the rank. Readers of JSON take the last or refuse the line. Ruled out: nothing else logs a rank. Test: go test ./ingress ./explain.

--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -21,12 +21,12 @@
  1.5 vm-1 {"time":"2026-03-02T06:29:01.5Z","level":"INFO","msg":"node: configuration received","version":"1.7"}
 not a line of the system
  9.0 vm-2 {"time":"2026-03-02T06:29:09Z","level":"INFO","msg":"dispatch: attempt ended","request":"r-late","upstream":"u2","outcome":"not-run","reason":"deadline","queued_ms":1450,"served_ms":0,"given_ms":2990,"in_use":5,"slots":5,"queued":7,"insist":true}
- 9.0 vm-1 {"time":"2026-03-02T06:29:09.001Z","level":"INFO","msg":"ingress: request ended","request":"r-late","service":"shop","level":1,"status":503,"outcome":"not-run","reason":"deadline","ms":1460,"left_ms":1540,"config":"1.7","attempts":"u1@10.0.0.1 not-run/busy after 1 ms; u2@10.0.0.2 not-run/deadline after 1452 ms"}
+ 9.0 vm-1 {"time":"2026-03-02T06:29:09.001Z","level":"INFO","msg":"ingress: request ended","request":"r-late","service":"shop","rank":1,"status":503,"outcome":"not-run","reason":"deadline","ms":1460,"left_ms":1540,"config":"1.7","attempts":"u1@10.0.0.1 not-run/busy after 1 ms; u2@10.0.0.2 not-run/deadline after 1452 ms"}
 20.0 vm-2 {"time":"2026-03-02T06:29:20Z","level":"INFO","msg":"node: upstream's work","upstream":"u2","failing":true}
 20.2 vm-2 {"time":"2026-03-02T06:29:20.2Z","level":"INFO","msg":"dispatch: attempt ended","request":"r-bad","upstream":"u2","outcome":"answered","reason":"","served_ms":1}
-20.2 vm-1 {"time":"2026-03-02T06:29:20.201Z","level":"INFO","msg":"ingress: request ended","request":"r-bad","service":"shop","level":1,"status":500,"outcome":"answered","reason":"","ms":3,"config":"1.7","attempts":"u2@10.0.0.2 answered/ after 2 ms"}
+20.2 vm-1 {"time":"2026-03-02T06:29:20.201Z","level":"INFO","msg":"ingress: request ended","request":"r-bad","service":"shop","rank":1,"status":500,"outcome":"answered","reason":"","ms":3,"config":"1.7","attempts":"u2@10.0.0.2 answered/ after 2 ms"}
 30.0 vm-1 {"time":"2026-03-02T06:29:30Z","level":"WARN","msg":"ingress: path to node failed","node":"10.0.0.2","addr":"10.0.0.2:7000"}
-30.1 vm-1 {"time":"2026-03-02T06:29:30.1Z","level":"INFO","msg":"ingress: request ended","request":"r-lost","service":"shop","level":0,"status":502,"outcome":"unknown","reason":"lost-dispatcher","ms":1600,"config":"1.7","attempts":"u2@10.0.0.2 unknown/lost-dispatcher after 1599 ms"}
+30.1 vm-1 {"time":"2026-03-02T06:29:30.1Z","level":"INFO","msg":"ingress: request ended","request":"r-lost","service":"shop","rank":0,"status":502,"outcome":"unknown","reason":"lost-dispatcher","ms":1600,"config":"1.7","attempts":"u2@10.0.0.2 unknown/lost-dispatcher after 1599 ms"}
 29.9 vm-2 {"time":"2026-03-02T06:29:29.9Z","level":"INFO","msg":"node: node is up","node":"10.0.0.2"}
 `
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -237,7 +237,7 @@
 // log writes how the request ended, and what led there.
 func (s *serving) log(e outcome.Ended, status int) {
 	s.in.log.Info("request ended",
-		"request", s.rq.id, "service", s.rq.service.Name, "kind", s.rq.kind.Name, "level", s.rq.level,
+		"request", s.rq.id, "service", s.rq.service.Name, "kind", s.rq.kind.Name, "rank", s.rq.level,
 		"status", status, "outcome", e.Outcome.String(), "reason", string(e.Reason),
 		"ms", time.Since(s.rq.began).Milliseconds(), "left_ms", time.Until(s.rq.deadline).Milliseconds(),
 		"config", s.v.Config.Version.String(), "attempts", traceText(s.trace))
