Tell the end of failing phases that have ended by time

Cause: the fleet is told of an upstream that fails its work for 10 s. The dispatcher told begin and end by comparing the filter before and after an observation; if the failing state had decayed since the last one, both were 'not failing', and the end was never told. From 10 s after the begin of such a phase all ingresses avoided the upstream, for good or until its next phase. Ruled out: news of members that is dropped for exchanges, the sequential test (its verdict was 'healthy' from 10.9 s on), paths, slots. Change: what was told last is remembered, and any difference from it is told. Test: TestEndOfFailingPhaseIsTold, failed before.

--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -78,25 +78,27 @@
 
 // learn takes in how an upstream dealt with an attempt that was sent at start.
 func (d *Dispatcher) learn(u *upstream, start, now time.Time, failed bool) {
-	before, after := u.learn(start, now, failed)
-	if before != after && d.cfg.Failing != nil {
-		d.cfg.Failing(u.id, after)
+	if changed, failing := u.learn(start, now, failed); changed && d.cfg.Failing != nil {
+		d.cfg.Failing(u.id, failing)
 	}
 }
 
 // learn is the part of Dispatcher.learn that concerns the upstream. It returns
-// whether the upstream was failing before and is after. Attempts that wait at
-// one that has begun to fail are sent elsewhere.
-func (u *upstream) learn(start, now time.Time, failed bool) (before, after bool) {
+// whether the upstream fails now, and whether that differs from what was told last:
+// a failing phase may also end by the time that has passed, without an observation.
+// Attempts that wait at one that has begun to fail are sent elsewhere.
+func (u *upstream) learn(start, now time.Time, failed bool) (changed, failing bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before = u.failing(now)
+	before := u.failing(now)
 	u.gray.Observe(start, failed)
-	after = u.failing(now)
+	failing = u.failing(now)
+	changed = failing != u.toldFailing
+	u.toldFailing = failing
 	switch {
 	case !failed:
 		u.nextProbe = now
-		return before, after
+		return changed, failing
 	case !before:
 		u.probeInterval = minProbeInterval
 		u.nextProbe = now.Add(minProbeInterval)
@@ -106,8 +108,8 @@
 	if now.Sub(start) > survivalTime {
 		u.slowFailureAt = now
 	}
-	if !after {
-		return before, after
+	if !failing {
+		return changed, failing
 	}
 	for id, p := range u.waiting {
 		if p.movable {
@@ -115,7 +117,7 @@
 			u.wake(id, outcome.HasNotRun(outcome.ReasonUnhealthy))
 		}
 	}
-	return before, after
+	return changed, failing
 }
 
 // putOffProbe sets the time of the next probe and lengthens the interval. u.mu
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// Guards against an upstream that the whole fleet avoids for good: if its failing phase
+// has ended by the time that has passed, the next success must be told.
+func TestEndOfFailingPhaseIsTold(t *testing.T) {
+	u, now := grayUpstream()
+	changed, failing := u.learn(now, now, true)
+	assert.Assert(t, changed && failing)
+	for u.failing(now) {
+		now = now.Add(time.Second)
+	}
+	changed, failing = u.learn(now, now, false)
+	assert.Assert(t, changed && !failing, "the end of the phase is told")
+	changed, _ = u.learn(now, now, false)
+	assert.Assert(t, !changed)
+}
+
 // Guards against an upstream that stays out for long after it has recovered:
 // each probe that succeeds is followed by the next at once.
 func TestRecoveredUpstreamReturns(t *testing.T) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -52,6 +52,8 @@
 	gray          health.Gray
 	nextProbe     time.Time
 	probeInterval time.Duration
+	// toldFailing is what the node was told last of whether it fails its work.
+	toldFailing bool
 	// ejectable says that the service has a group that grants ejections.
 	ejectable bool
 	// slowFailureAt is when a request last failed after survivalTime.
