Wait in 'proc freeze' until the process has stopped

Cause: kill(2) returns before SIGSTOP takes effect; on a busy machine the stopped stand-in answered the next 506 of 3000 requests. Change: wait with waitid(WSTOPPED, WNOWAIT) until all threads have stopped. The exit status stays with the goroutine that waits for the exit. Ruled out: the check itself, which is right and stays. Conclusion: scripts that freeze a process now begin with a frozen one.

--- a/scenario/process.go
+++ b/scenario/process.go
@@ -69,7 +69,7 @@
 	case "kill":
 		return p.kill()
 	case "freeze":
-		return p.signal(syscall.SIGSTOP)
+		return p.freeze()
 	case "thaw":
 		return p.signal(syscall.SIGCONT)
 	case "restart":
@@ -181,6 +181,21 @@
 	return nil
 }
 
+// freeze stops the process with SIGSTOP and waits until it has stopped: the signal takes effect
+// some time after it was sent, and until then the process goes on answering.
+func (p *process) freeze() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	if err := waitStopped(p.cmd.Process.Pid); err != nil {
+		return fmt.Errorf("freeze process %s: %w", p.name, err)
+	}
+	if !p.running() {
+		return fmt.Errorf("process %s exited before it was frozen: %s", p.name, p.cmd.ProcessState)
+	}
+	return nil
+}
+
 // wait waits until the process has exited, and returns an error after the timeout.
 func (p *process) wait(timeout time.Duration) error {
 	select {
