Compare all replicas in TestProposalsReachAllReplicas

Cause: if the first replica lagged when it was read, the condition held for all replicas whatever their state. Change: wait until each replica has all 200 proposals, then compare hashes. Conclusion: a lost or reordered proposal now fails the test.

--- a/consensus/replica/replica_test.go
+++ b/consensus/replica/replica_test.go
@@ -182,9 +182,13 @@
 		}
 		wg.Wait()
 		assert.NilError(t, leader.ReadBarrier(t.Context()))
-		count, hash := machines[0].value()
 		for _, m := range machines {
-			waitFor(t, "equal state", func() bool { c, h := m.value(); return c == 200 && h == hash || count != 200 })
+			waitFor(t, "all proposals", func() bool { c, _ := m.value(); return c == 200 })
+		}
+		_, hash := machines[0].value()
+		for _, m := range machines {
+			_, h := m.value()
+			assert.Equal(t, h, hash)
 		}
 		for _, r := range replicas {
 			if r == leader {
