Count answers of the measured time in f3_flood

Cause: the check for 900 of 1200 possible answers counted only requests sent after the warm-up. Ruled out: idle slots by thresholds that refuse too much, lost answers.

--- a/loadgen/load.go
+++ b/loadgen/load.go
@@ -31,6 +31,7 @@
 	start         time.Time
 	lastWorkID    atomic.Uint64
 	measuredCount atomic.Int64
+	completed     atomic.Int64 // see Report.Completed
 	countByKind   []atomic.Int64
 	inFlight      chan struct{}
 	running       sync.WaitGroup
@@ -208,6 +209,7 @@
 		}
 		if !l.resendable(ctx, job, v, resent) {
 			stats.record(v, attempt.status, resent, time.Since(planned))
+			l.countCompleted(v)
 			return
 		}
 		resent++
@@ -215,6 +217,15 @@
 	}
 }
 
+// countCompleted counts an answer that arrives while requests are measured.
+func (l *Load) countCompleted(v *verdict) {
+	at := time.Since(l.start)
+	inWindow := at >= l.settings.WarmUp && at < l.settings.WarmUp+l.settings.Duration
+	if inWindow && v.fault == FaultNone && v.outcome == answered {
+		l.completed.Add(1)
+	}
+}
+
 // resendable reports whether the caller sends the request again: it carries an idempotency key and
 // got no answer, neither a right nor a wrong one.
 func (l *Load) resendable(ctx context.Context, job *job, v *verdict, resent int) bool {
@@ -236,7 +247,7 @@
 }
 
 func (l *Load) report(elapsed time.Duration) *Report {
-	r := &Report{Seed: l.settings.Seed, Elapsed: elapsed, Samples: l.samples}
+	r := &Report{Seed: l.settings.Seed, Elapsed: elapsed, Completed: l.completed.Load(), Samples: l.samples}
 	r.WarmUp = kindReport("", []*phaseStats{l.warmUpStats}).Counts
 	var allStats []*phaseStats
 	for i := range l.kinds {
--- a/loadgen/report.go
+++ b/loadgen/report.go
@@ -37,13 +37,16 @@
 
 // Report is the result of a load.
 type Report struct {
-	Seed     uint64        `json:"seed"`
-	Elapsed  time.Duration `json:"elapsedNs"`
-	Total    KindReport    `json:"total"`
-	Kinds    []KindReport  `json:"kinds"`
-	Phases   []PhaseReport `json:"phases,omitempty"` // only if a rate changes
-	WarmUp   Counts        `json:"warmUp"`           // checked but not measured
-	Failures []string      `json:"failures"`         // checks that failed
+	Seed    uint64        `json:"seed"`
+	Elapsed time.Duration `json:"elapsedNs"`
+	Total   KindReport    `json:"total"`
+	// Completed counts the answers that arrived between the end of the warm-up and the end of
+	// sending. Unlike Total.Answered, it does not depend on how long the queues are at either end.
+	Completed int64         `json:"completed"`
+	Kinds     []KindReport  `json:"kinds"`
+	Phases    []PhaseReport `json:"phases,omitempty"` // only if a rate changes
+	WarmUp    Counts        `json:"warmUp"`           // checked but not measured
+	Failures  []string      `json:"failures"`         // checks that failed
 	// Samples describes the first faults that were found in answers.
 	Samples []string `json:"samples,omitempty"`
 }
@@ -120,7 +123,7 @@
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("loadgen: report: %w", err)
 	}
-	fmt.Fprintf(w, "seed %d, %s, warm-up %d requests\n", r.Seed, r.Elapsed.Round(time.Millisecond), r.WarmUp.Sent)
+	fmt.Fprintf(w, "seed %d, %s, warm-up %d requests, %d answers while measuring\n", r.Seed, r.Elapsed.Round(time.Millisecond), r.WarmUp.Sent, r.Completed)
 	for _, s := range r.Samples {
 		fmt.Fprintln(w, "sample:", s)
 	}
