Suspend a replica while its store fails instead of ending it

Cause: any error of Save ended the replica and with it the control process: on the grown inspection site a full disk ended six processes. Change: the replica keeps the batch, sends nothing, refuses calls as 'not the leader', and saves the same batch again every 250 ms. The others elect a leader meanwhile; messages that depend on the batch leave only once it is stored. A founder whose first save fails tries again. Ruled out: acknowledging from memory (a second loss would lose it); handing the batch to a new transaction is safe, since records are keyed by index. Tests: one and all disks of a group full, a stop while suspended, and a bbolt file whose writes are refused by a read-only descriptor. Before the change TestFullDiskSuspendsReplica ends with a stopped replica. Left: a member that starts with a blank disk that is full still exits.

--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -209,7 +209,7 @@
 }
 
 // Done returns a channel that is closed when the replica has stopped, because of Stop or because its
-// store or state machine failed.
+// state machine failed.
 func (r *Replica) Done() <-chan struct{} { return r.done }
 
 func (r *Replica) run() {
@@ -221,13 +221,14 @@
 		err = r.runRounds()
 		r.publishStatus()
 	}
+	if errors.Is(err, errStopRequested) {
+		err = nil
+	}
 	if err != nil {
 		r.log.Error("replica stops after a failure", "error", err)
 	}
 	// A stopped replica must not be reported as leader.
-	s := *r.status.Load()
-	s.Role, s.Leader, s.LeaderAddr = consensus.Follower, 0, ""
-	r.status.Store(&s)
+	r.publishLeaderless()
 	r.err = errors.Join(err, r.cfg.Store.Close())
 	r.failWaiters(ErrStopped)
 	r.failQueued()
@@ -336,7 +337,7 @@
 func (r *Replica) runRound(rd consensus.Ready) error {
 	r.send(rd.EarlyMessages)
 	if rd.Sync {
-		if err := r.cfg.Store.Save(rd.Batch); err != nil {
+		if err := r.save(rd.Batch); err != nil {
 			return err
 		}
 	}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -198,8 +198,9 @@
 type Store interface {
 	// Load returns the stored state. It is called once, before Save.
 	Load() (Stored, error)
-	// Save stores a batch and returns once it is as durable as the store can make it. The replica
-	// must stop after an error.
+	// Save stores a batch and returns once it is as durable as the store can make it. After an error
+	// the batch may or may not be stored. The replica then does nothing but call Save again with the
+	// same batch until it succeeds.
 	Save(Batch) error
 	Close() error
 }
--- a/controld/found.go
+++ b/controld/found.go
@@ -99,12 +99,11 @@
 			if exists && founders == nil {
 				g.log.Info("the group exists; this replica waits to be added", "replica", g.store.ID().String())
 			}
+			// The initial membership is not told to others before it is stored, so a founder whose
+			// disk fails may try again.
 			if err = g.start(founders); err == nil {
 				return
 			}
-			g.log.Error("failed to start replica", "error", err)
-			g.closeDone()
-			return
 		}
 		// An error is logged when it differs from the last one.
 		if text := err.Error(); text != lastLogged {
