Accept routes with large bodies

Change: a route policy may say that its requests carry large bodies; such requests are not idempotent.

--- a/resource/object.go
+++ b/resource/object.go
@@ -196,6 +196,9 @@
 	DeadlineMs         int64  `json:"deadlineMs" validate:"min=1,max=600000"`
 	LatencyObjectiveMs int64  `json:"latencyObjectiveMs" validate:"min=0,max=600000"`
 	MaxAttempts        int    `json:"maxAttempts,omitempty" validate:"min=0,max=16"`
+	// LargeBodies says that requests carry large bodies, such as files. Idempotent must not be set:
+	// such a body is not kept for another run.
+	LargeBodies bool `json:"largeBodies,omitempty" validate:"excluded_if=Idempotent true"`
 }
 
 // Type implements Object.
