Bind each upstream answer to its request on kept connections

Cause: net/http's client gives the next bytes on a connection to the next request. A late copy of an earlier answer then ends a request whose own answer follows, and an upstream that returns no IDs (allowed by the own protocol) has the copy delivered to the wrong caller. It also reads heads of up to 10 MB, repeats requests by itself and logs an upstream's bytes past the logger. Change: package dispatch/httpconn exchanges requests with one upstream. It skips late copies by their ID, keeps connections only of upstreams that return IDs, closes a connection on which anything unexpected was read, bounds a head with its interim answers at 64 KiB and honors the announced keep-alive time. The dispatcher repeats an idempotent request once if a kept connection turns out to be closed within 10 ms, and says 'not run' only if nothing was sent. Ruled out: rejecting every answer without an ID, which would exclude upstreams of the own protocol; a mark per connection in net/http, which can't skip.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -27,7 +27,7 @@
 	assert.NilError(t, err)
 	reports := make(crashReports, 1)
 	d := New(Config{Log: logging.Discard(), Crashes: reports, Gone: func(fleet.UpstreamID) {}})
-	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: ln.Addr().String(), Slots: 1}, time.Now())
+	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: ln.Addr().String(), Slots: 1}, &Protocol{})
 	u.running[1] = 42
 	assert.Assert(t, !d.checkCrash(u), "the listener still accepts connections")
 	assert.NilError(t, ln.Close())
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -144,7 +144,7 @@
 		u = nil
 	}
 	if u == nil {
-		u = newUpstream(a, time.Now())
+		u = newUpstream(a, &d.cfg.Protocol)
 		d.upstreams[a.ID] = u
 		u.configure(d.ranksConfig, d.ranks)
 		d.log.Info("upstream joined", "upstream", a.ID, "service", a.Service, "addr", a.Addr, "slots", a.Slots)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -216,3 +217,48 @@
 	_, end = finish(t, begin(t, f, orderHead("b")))
 	assert.Equal(t, end.Reason, outcome.ReasonUpstreamGone)
 }
+
+// Guards against "not run" for a request that an upstream got on a kept connection before it crashed:
+// the dispatcher sends an idempotent one again, and that one cannot be sent.
+func TestCrashAfterKeptConnectionIsUnknown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := newFixture(t, nil, answerOK)
+	f.Withdraw("u")
+	f.announcement.Addr = ln.Addr().String()
+	f.Announce(f.announcement)
+	// serve answers a number of requests on one connection.
+	serve := func(answers int) {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		for range answers {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRequestID, r.Header.Get(HeaderRequestID))
+		}
+		http.ReadRequest(br)
+	}
+	go func() {
+		// Connections are kept once the first answer has shown that the upstream returns IDs. The third
+		// request is read on a kept connection, and then the process ends.
+		serve(1)
+		serve(1)
+		ln.Close()
+	}()
+	for _, id := range []string{"a", "b"} {
+		head := orderHead(id)
+		head.Idempotent = true
+		_, end := finish(t, begin(t, f, head))
+		assert.Equal(t, end.Outcome, outcome.Answered)
+	}
+	head := orderHead("c")
+	head.Idempotent = true
+	_, end := finish(t, begin(t, f, head))
+	assert.Equal(t, end.Outcome, outcome.Unknown, "%+v", end)
+}
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -13,7 +13,7 @@
 
 func grayUpstream() (*upstream, time.Time) {
 	now := time.Unix(1_700_000_000, 0)
-	return newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", Slots: 2}, now), now
+	return newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", Slots: 2}, &Protocol{}), now
 }
 
 // Guards against an upstream that has been failing for seconds but still gets requests that cannot
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -19,7 +19,7 @@
 	// RequestID is the header with the ID of the request. Upstreams return it in the answer.
 	RequestID string
 	// EchoRequired says that all upstreams return the request ID, so that an answer without it is
-	// rejected.
+	// rejected. Otherwise, connections to an upstream are kept only once it has returned an ID.
 	EchoRequired bool
 	// DeadlineMs is the header with the milliseconds left to the deadline.
 	DeadlineMs string
@@ -60,12 +60,6 @@
 	}
 }
 
-// matchesRequest reports whether an answer with the headers h belongs to the request with this ID.
-func (p *Protocol) matchesRequest(h http.Header, id string) bool {
-	echoed := h.Get(p.RequestID)
-	return echoed == id || echoed == "" && !p.EchoRequired
-}
-
 // setOrDelete sets a header whose value the caller must not control; an empty value removes the one
 // that the caller sent.
 func setOrDelete(h http.Header, name, value string) {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -5,16 +5,14 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/godwithub/godwithub/admission"
+	"github.com/godwithub/godwithub/dispatch/httpconn"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/resource"
@@ -26,17 +24,6 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
-func newTransport(maxConns int) *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     maxConns,
-		MaxIdleConnsPerHost: maxConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
-}
-
 // run waits for a slot and the claim of an attempt, sends it to its upstream and writes the answer
 // to w.
 func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body []byte, w *answerWriter) wire.AnswerEnd {
@@ -155,21 +142,12 @@
 		ctx, cancel = context.WithDeadline(context.Background(), deadline)
 		defer cancel()
 	}
-	req, sent := d.newRequest(ctx, u, head, body)
-	resp, err := u.transport.RoundTrip(req)
+	resp, err := d.roundTrip(ctx, u, head, body)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			d.withdrawGone(u)
-		}
-		return classify(ctx, err, sent.Load())
+		return classify(ctx, err, !errors.Is(err, httpconn.ErrNotSent))
 	}
 	defer resp.Body.Close()
-	protocol := &d.cfg.Protocol
-	if !protocol.matchesRequest(resp.Header, head.RequestID) {
-		d.log.Error("upstream answered with the ID of another request", "upstream", u.id, "request", head.RequestID, "got", resp.Header.Get(protocol.RequestID))
-		return outcome.MayHaveRun(outcome.ReasonShortAnswer), ResultBroken
-	}
-	switch protocol.Refusal(resp) {
+	switch d.cfg.Protocol.Refusal(resp) {
 	case RefusedFull:
 		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
 	case RefusedWrongUpstream:
@@ -198,6 +176,34 @@
 	return outcome.Ended{Outcome: outcome.Answered}, ResultOK
 }
 
+// roundTrip sends the request and returns the head of its answer. If a kept connection turns out to be
+// closed, an idempotent request is sent once more over a new one.
+func (d *Dispatcher) roundTrip(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) (*http.Response, error) {
+	resp, err := u.client.Do(ctx, d.newRequest(ctx, u, head, body), head.RequestID)
+	if errors.Is(err, httpconn.ErrStale) {
+		// The upstream may have closed the other idle connections as well.
+		u.client.CloseIdle()
+		notSent := errors.Is(err, httpconn.ErrNotSent)
+		if head.Idempotent || notSent {
+			var again error
+			resp, again = u.client.Do(ctx, d.newRequest(ctx, u, head, body), head.RequestID)
+			// The first one may have run even if the second one was not sent.
+			if notSent || !errors.Is(again, httpconn.ErrNotSent) {
+				err = again
+			}
+		}
+	}
+	switch {
+	case err == nil:
+		return resp, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		d.withdrawGone(u)
+	case errors.Is(err, httpconn.ErrForeignAnswer), errors.Is(err, httpconn.ErrHeadTooLarge):
+		d.log.Error("unusable answer from an upstream", "upstream", u.id, "request", head.RequestID, "fault", err)
+	}
+	return nil, err
+}
+
 // classify returns the outcome and the result of an exchange that failed with err. sent says that
 // there was a connection, so the upstream may have received the request.
 func classify(ctx context.Context, err error, sent bool) (outcome.Ended, Result) {
@@ -219,17 +225,8 @@
 	}
 }
 
-// opaqueBody hides the type of a body from net/http, which would otherwise resend a request by itself
-// when a reused connection breaks.
-type opaqueBody struct{ io.Reader }
-
-func (opaqueBody) Close() error { return nil }
-
-// newRequest returns the HTTP request to the upstream, and a flag that is set once it has a
-// connection.
-func (d *Dispatcher) newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) (*http.Request, *atomic.Bool) {
-	sent := new(atomic.Bool)
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+// newRequest returns the HTTP request to the upstream.
+func (d *Dispatcher) newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) *http.Request {
 	req := &http.Request{
 		Method:        head.Method,
 		URL:           head.URL(u.addr),
@@ -240,8 +237,8 @@
 		ProtoMinor:    1,
 		ContentLength: int64(len(body)),
 	}
-	if len(body) > 0 || !head.Idempotent {
-		req.Body = opaqueBody{bytes.NewReader(body)}
+	if len(body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	for _, h := range head.Headers {
 		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
@@ -252,7 +249,11 @@
 	setOrDelete(req.Header, protocol.DeadlineMs, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	setOrDelete(req.Header, protocol.ExpectedUpstream, string(u.id))
 	setOrDelete(req.Header, protocol.Origin, head.Origin)
-	return req.WithContext(httptrace.WithClientTrace(ctx, trace)), sent
+	if req.Header.Get("User-Agent") == "" {
+		// net/http would add one of its own.
+		req.Header["User-Agent"] = []string{""}
+	}
+	return req
 }
 
 // copyBody writes the body to w. The last bytes are buffered, to be sent with the end of the answer.
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/dispatch/httpconn"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/outcome"
@@ -16,22 +16,14 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-const (
-	// idleConnTimeout is how long idle connections to an upstream are kept. It is short because an
-	// idle connection that has gone silent cannot be distinguished from a good one.
-	idleConnTimeout = 15 * time.Second
-	// connectTimeout bounds the dial to an upstream on this VM.
-	connectTimeout = time.Second
-)
-
 type rankShare = admission.RankShare
 
 // upstream is an upstream of this VM, with its slots and its queue.
 type upstream struct {
-	id        fleet.UpstreamID
-	service   string
-	addr      string
-	transport *http.Transport
+	id      fleet.UpstreamID
+	service string
+	addr    string
+	client  *httpconn.Client
 
 	mu       sync.Mutex
 	slots    int
@@ -59,7 +51,7 @@
 	slowFailureAt time.Time
 }
 
-func newUpstream(a announce.Announcement, now time.Time) *upstream {
+func newUpstream(a announce.Announcement, p *Protocol) *upstream {
 	u := &upstream{
 		id:      a.ID,
 		service: a.Service,
@@ -70,7 +62,9 @@
 	}
 	// A connection that is being closed still counts towards the limit for a moment, so the limit is
 	// higher than the number of slots, as far as the upstream allows.
-	u.transport = newTransport(a.ConnectionsUpTo(2 * a.Slots))
+	u.client = httpconn.New(httpconn.Config{
+		Addr: a.Addr, MaxConns: a.ConnectionsUpTo(2 * a.Slots), IDHeader: p.RequestID, IDRequired: p.EchoRequired,
+	})
 	return u
 }
 
@@ -107,7 +101,7 @@
 	defer u.mu.Unlock()
 	u.closed = true
 	u.refuseQueue(outcome.ReasonUpstreamGone)
-	u.transport.CloseIdleConnections()
+	u.client.Close()
 }
 
 // refuseQueue refuses all waiting attempts. u.mu is held.
