Ask other upstreams before insisting on one that is failing

Cause: after three declines a request had to run at the best of those upstreams, also when all three had declined as failing. Change: if the best upstream with a known load is failing, upstreams that were not asked yet are asked first, in other regions too; the last allowed attempt insists as before. A busy region is still not left. Ruled out: a higher number of declines for all requests, which costs a crossing where upstreams are only busy. Test: TestOtherRegionIsAskedBeforeFailingUpstreams fails without the change.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -246,6 +246,13 @@
 	return index, true
 }
 
+// BestIsFailing reports whether the candidate that Pick would choose with LoadsKnown is failing, so
+// that another upstream, about which nothing is known, promises more.
+func BestIsFailing(r *rand.Rand, req Request, candidates []Candidate) bool {
+	i, ok := leastCost(r, &req, candidates)
+	return ok && candidates[i].Failing >= certainFailureThreshold
+}
+
 // cost returns the weighted sum of the wait for a slot, the risk of failure and the
 // distance.
 func cost(req *Request, c *Candidate) float64 {
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -52,7 +52,20 @@
 }
 
 // insists reports whether the next upstream has to take the attempt even if it is busy.
-func (h *requestHandler) insists() bool { return h.allDeclined || len(h.declined) >= insistAfter }
+func (h *requestHandler) insists() bool {
+	return h.allDeclined || len(h.declined) >= insistAfter && !h.askOthers
+}
+
+// shouldAskOthers reports whether to ask upstreams that were not asked yet although enough have
+// declined: the best of those is failing, so that the request would most likely fail there. One attempt
+// is left for the best of all.
+func (h *requestHandler) shouldAskOthers(r *rand.Rand, req balance.Request, candidates []balance.Candidate) bool {
+	if h.allDeclined || len(h.declined) < insistAfter || h.attempts+1 >= retry.MaxAttempts {
+		return false
+	}
+	req.Tried = h.tried
+	return balance.BestIsFailing(r, req, candidates)
+}
 
 // excluded returns the upstreams that the next attempt must not go to.
 func (h *requestHandler) excluded() []fleet.UpstreamID {
@@ -83,12 +96,13 @@
 		Idempotent:    h.rq.kind.Idempotent,
 		LastRun:       h.lastRun(now),
 		Key:           h.rq.key,
-		Tried:         h.excluded(),
-		CrossAllowed:  h.insists() || h.in.crossRegion.allowed(h.rq.service.Name, now),
-		LoadsKnown:    h.insists(),
+		CrossAllowed:  true,
 	}}
 	candidates, upstreams := h.in.candidates(h.view, h.rq.service.Name, h.rq.level, now)
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	h.askOthers = h.shouldAskOthers(r, c.balanceReq, candidates)
+	c.balanceReq.Tried, c.balanceReq.LoadsKnown = h.excluded(), h.insists()
+	c.balanceReq.CrossAllowed = h.insists() || h.askOthers || h.in.crossRegion.allowed(h.rq.service.Name, now)
 	for {
 		i, ok := balance.Pick(r, c.balanceReq, candidates)
 		switch {
--- a/ingress/pick_test.go
+++ b/ingress/pick_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/board"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -32,3 +37,54 @@
 		assert.Equal(t, h.usedCapacity, c.usedCapacity, c.name)
 	}
 }
+
+// homeAndRemote returns a handler of a request of a service with four upstreams in each of two regions.
+func homeAndRemote() *requestHandler {
+	v := &board.View{Self: fleet.Node{Region: "home"}, Upstreams: map[string][]board.Upstream{}}
+	for i, region := range []string{"home", "home", "home", "home", "remote", "remote", "remote", "remote"} {
+		u := board.Upstream{Region: region}
+		u.ID, u.Slots = fleet.UpstreamID(region+string(rune('0'+i))), 3
+		v.Upstreams["shop"] = append(v.Upstreams["shop"], u)
+	}
+	in := New(Config{Log: logging.Discard(), View: func() *board.View { return v }})
+	rq := &request{service: &resource.Service{Meta: resource.Meta{Name: "shop"}}, kind: &resource.RequestKind{}}
+	return &requestHandler{in: in, view: v, rq: rq}
+}
+
+// pickAll makes attempts that are all declined until one insists, and returns the regions in order.
+func (h *requestHandler) pickAll(now time.Time, reason outcome.Reason, load wire.Load) []string {
+	var regions []string
+	for {
+		u, _ := h.pick(now)
+		h.attempts++
+		regions = append(regions, u.Region)
+		if h.insists() {
+			return regions
+		}
+		entry := h.in.loads.entry(u.ID)
+		entry.begin()
+		end := &wire.AnswerEnd{Load: load}
+		entry.finish(end, now)
+		h.recordAttempt(u, outcome.HasNotRun(reason), end)
+	}
+}
+
+// Guards against a request that has to run at an upstream which is known to fail, while upstreams of
+// another region were not asked. Load: all upstreams of the home region fail, and those of the other
+// region fail as well or have room.
+func TestOtherRegionIsAskedBeforeFailingUpstreams(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	failing := wire.Load{Slots: 3, FailingPercent: 90, Suspect: true}
+	regions := homeAndRemote().pickAll(now, outcome.ReasonUnhealthy, failing)
+	assert.DeepEqual(t, regions[:5], []string{"home", "home", "home", "home", "remote"})
+	assert.Equal(t, len(regions), retry.MaxAttempts)
+}
+
+// Guards against attempts that cross regions only because the home region is busy: the request queues
+// at the shortest queue there.
+func TestBusyRegionIsNotLeft(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	busy := wire.Load{Slots: 3, SlotsInUse: 3, Queued: 1, FailingPercent: 2}
+	regions := homeAndRemote().pickAll(now, outcome.ReasonBusy, busy)
+	assert.DeepEqual(t, regions, []string{"home", "home", "home", "home"})
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -79,8 +79,10 @@
 	declined []fleet.UpstreamID
 	// allDeclined is set once all remaining upstreams have declined.
 	allDeclined bool
-	tried       []fleet.UpstreamID // upstreams with an attempt that they did not decline
-	trace       []AttemptTrace
+	// askOthers is set while upstreams that were not asked yet are preferred to those that declined.
+	askOthers bool
+	tried     []fleet.UpstreamID // upstreams with an attempt that they did not decline
+	trace     []AttemptTrace
 }
 
 // run makes attempts until the outcome is final or no further attempt is allowed.
