--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -100,12 +100,13 @@
 	ranks       []rankShare
 	ranksConfig *resource.Config
 
-	active sync.WaitGroup
-	stats  stats
+	failedCalls failedCalls
+	active      sync.WaitGroup
+	stats       stats
 }
 
 type stats struct {
-	attempts, duplicates, foreign, relayed, answered, notRun, unknown expvar.Int
+	attempts, duplicates, foreign, relayed, answered, notRun, unknown, failedByCall expvar.Int
 	// ended counts accepted attempts by outcome and reason; declined counts the others by reason.
 	ended, declined expvar.Map
 	// queued and served hold the times in the queue and at the upstream, by service.
@@ -204,6 +205,8 @@
 		"answered":   &d.stats.answered,
 		"not_run":    &d.stats.notRun,
 		"unknown":    &d.stats.unknown,
+		// failed runs that are put down to a failed call of the upstream
+		"failed_by_call": &d.stats.failedByCall,
 	})
 	m.Set("ended", &d.stats.ended)
 	m.Set("declined", &d.stats.declined)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -73,6 +73,11 @@
 		// Crashes are detected separately and are no evidence of a gray failure.
 		result = ResultRefused
 	}
+	if result == ResultError && d.failedCalls.explains(sentAt, sentAt.Add(serviceTime)) {
+		// The upstream failed because a call of its own did.
+		result = ResultRefused
+		d.stats.failedByCall.Add(1)
+	}
 	if d.cfg.Crashes != nil && e.Outcome == outcome.Answered {
 		d.cfg.Crashes.Completed(head.Fingerprint)
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -58,6 +58,7 @@
 	}
 	e := outcome.HasNotRun(r.reason)
 	in.stats.notRun.Add(1)
+	in.reportFailed(rq.began)
 	in.log.Info("request refused", "request", rq.id, "reason", string(r.reason), "message", r.message)
 	writeFailure(w, rq.id, e, r.message)
 	in.trace.add(Trace{RequestID: rq.id, Began: rq.began, Ended: e, Message: r.message})
@@ -224,6 +225,9 @@
 	}
 	h.in.count(e.Outcome)
 	h.in.record(h, e, status)
+	if status >= http.StatusBadRequest {
+		h.in.reportFailed(h.rq.began)
+	}
 	h.log(e, status)
 	switch {
 	case answered:
@@ -246,6 +250,12 @@
 		"config", h.view.Config.Version.String(), "attempts", formatAttempts(h.trace))
 }
 
+func (in *Ingress) reportFailed(began time.Time) {
+	if in.cfg.Failed != nil {
+		in.cfg.Failed(began)
+	}
+}
+
 func (in *Ingress) count(o outcome.Outcome) {
 	switch o {
 	case outcome.Answered:
--- a/node/new.go
+++ b/node/new.go
@@ -112,6 +112,7 @@
 		View:   n.board.View,
 		Dialer: n.dialer,
 		Record: n.countFinished,
+		Failed: func(began time.Time) { n.dispatcher.RecordFailedRequest(began, time.Now()) },
 		CrossRegion: func(level int, answerBytes int64) bool {
 			return n.crossRegion.allow(n.board.View(), level, answerBytes)
 		},
