Let queued attempts leave an upstream that begins to fail, and look on when a queue is too long

(2) attempts that had insisted stayed in the queue of an upstream that began to fail, and were run there within 1 ms each (5 of 7 seen). Change: queue refusals with time left have a reason of their own, queue-long; the request is then offered to upstreams that were not asked and take it at once. All that wait leave an upstream that begins to fail; one that insists on a failing upstream still runs there. Ruled out: insisting at a second queue (the queues of a service are alike). Next: the other region is not asked while the home region is merely busy.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -134,8 +134,8 @@
 // been passed to Done.
 func (q *Queue) InService() int { return q.inService }
 
-// Offer queues t, or refuses it with a reason: ReasonDeadline if it would
-// probably miss its deadline, ReasonShed if the queue is full of work with
+// Offer queues t, or refuses it with a reason: ReasonDeadline if too little time is left
+// for its work, ReasonQueueLong if its wait would probably be too long, ReasonShed if the queue is full of work with
 // precedence over it. evicted lists the tickets that were removed to make room,
 // also when t is refused; the dispatcher must refuse them with ReasonShed.
 func (q *Queue) Offer(now time.Time, t Ticket) (ok bool, reason outcome.Reason, evicted []Ticket) {
@@ -151,8 +151,11 @@
 	if !t.retryOrTrial() {
 		r.controller.recordOffer(now, pressure)
 	}
-	if pressure > 1 {
+	switch {
+	case e.latestStart.Before(now):
 		return false, outcome.ReasonDeadline, nil
+	case pressure > 1:
+		return false, outcome.ReasonQueueLong, nil
 	}
 	for len(q.entries) >= q.options.MaxLength {
 		v := q.victim(e)
@@ -171,7 +174,7 @@
 // Next removes and returns the next ticket to run. It is called when a slot is
 // free; each ticket that it returns must be passed to Done later. expired lists the
 // tickets that were removed because their maximum wait is over; the dispatcher must
-// refuse them with ReasonDeadline.
+// refuse them with the ExpiryReason.
 func (q *Queue) Next(now time.Time) (t Ticket, expired []Ticket, ok bool) {
 	expired = q.Expire(now)
 	r := q.nextRank()
@@ -186,8 +189,17 @@
 	return e.ticket, expired, true
 }
 
+// ExpiryReason returns why a ticket whose maximum wait is over is refused: with time left
+// to its deadline, another upstream may still serve it.
+func (t *Ticket) ExpiryReason(now time.Time) outcome.Reason {
+	if now.Before(t.Deadline) {
+		return outcome.ReasonQueueLong
+	}
+	return outcome.ReasonDeadline
+}
+
 // Expire removes and returns the tickets whose maximum wait is over. The dispatcher
-// must refuse them with ReasonDeadline. Next does the same; Expire is for an upstream
+// must refuse them with their ExpiryReason. Next does the same; Expire is for an upstream
 // whose slots stay busy.
 func (q *Queue) Expire(now time.Time) []Ticket {
 	var expired []Ticket
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -29,7 +29,8 @@
 	// result receives slotGranted, or how the attempt ended without a slot.
 	result chan outcome.Ended
 	// reroutable says that the attempt is refused if the upstream begins to fail: it has not run,
-	// so another upstream can run it.
+	// so another upstream can run it. It is not set for an attempt that insisted on an upstream that
+	// was failing already.
 	reroutable bool
 }
 
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
@@ -113,3 +114,33 @@
 	u.draining = true
 	assert.Equal(t, u.decline(now, &wire.AttemptHead{Insist: true}), outcome.ReasonDraining)
 }
+
+// Guards against a queue that runs into an upstream which has begun to fail. Load: two slots in use and
+// four waiting attempts, of which two insisted. An attempt that insists on a failing upstream stays.
+func TestQueueLeavesFailingUpstream(t *testing.T) {
+	u, _ := grayUpstream()
+	u.slots = 2
+	var results []chan outcome.Ended
+	enqueue := func(insist bool) {
+		ticket := admission.Ticket{Deadline: time.Now().Add(time.Minute), Expected: time.Millisecond}
+		ch, _, _, ok := u.enqueue(ticket, &wire.AttemptHead{Insist: insist})
+		assert.Assert(t, ok)
+		results = append(results, ch)
+	}
+	for _, insist := range []bool{true, true, true, false, true, false} {
+		enqueue(insist)
+	}
+	u.recordResult(time.Now(), time.Now(), true)
+	for i, ch := range results {
+		assert.Equal(t, len(ch), 1, "attempt %d", i)
+		if e := <-ch; i < 2 {
+			assert.Equal(t, e, slotGranted)
+		} else {
+			assert.Equal(t, e, outcome.HasNotRun(outcome.ReasonUnhealthy))
+		}
+	}
+	results = nil
+	enqueue(true)
+	u.recordResult(time.Now(), time.Now(), true)
+	assert.Equal(t, len(results[0]), 0)
+}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -120,10 +120,17 @@
 	}
 }
 
-// refuseTickets refuses the attempts of tickets that were removed from the queue. u.mu is held.
-func (u *upstream) refuseTickets(tickets []admission.Ticket, reason outcome.Reason) {
-	for _, t := range tickets {
-		u.wake(t.ID, outcome.HasNotRun(reason))
+// refuseEvicted refuses the attempts of tickets that were evicted from the queue. u.mu is held.
+func (u *upstream) refuseEvicted(tickets []admission.Ticket) {
+	for i := range tickets {
+		u.wake(tickets[i].ID, outcome.HasNotRun(outcome.ReasonShed))
+	}
+}
+
+// refuseExpired refuses the attempts of tickets that have waited for too long. u.mu is held.
+func (u *upstream) refuseExpired(now time.Time, tickets []admission.Ticket) {
+	for i := range tickets {
+		u.wake(tickets[i].ID, outcome.HasNotRun(tickets[i].ExpiryReason(now)))
 	}
 }
 
@@ -157,20 +164,21 @@
 		return nil, t, outcome.HasNotRun(outcome.ReasonUpstreamGone), false
 	}
 	now := time.Now()
-	if !head.Insist && u.failing(now) {
+	failing := u.failing(now)
+	if !head.Insist && failing {
 		// The upstream began to fail after decline had accepted the attempt.
 		return nil, t, outcome.HasNotRun(outcome.ReasonUnhealthy), false
 	}
 	u.nextID++
 	t.ID = u.nextID
-	u.refuseTickets(u.queue.Expire(now), outcome.ReasonDeadline)
+	u.refuseExpired(now, u.queue.Expire(now))
 	ok, reason, evicted := u.queue.Offer(now, t)
-	u.refuseTickets(evicted, outcome.ReasonShed)
+	u.refuseEvicted(evicted)
 	if !ok {
 		return nil, t, outcome.HasNotRun(reason), false
 	}
 	ch := make(chan outcome.Ended, 1)
-	u.waiting[t.ID] = waiter{ch, !head.Insist}
+	u.waiting[t.ID] = waiter{ch, !head.Insist || !failing}
 	u.grantSlots(now)
 	return ch, t, outcome.Ended{}, true
 }
@@ -179,7 +187,7 @@
 func (u *upstream) grantSlots(now time.Time) {
 	for u.inUse < u.slots {
 		t, expired, ok := u.queue.Next(now)
-		u.refuseTickets(expired, outcome.ReasonDeadline)
+		u.refuseExpired(now, expired)
 		if !ok {
 			return
 		}
--- a/explain/cause.go
+++ b/explain/cause.go
@@ -29,7 +29,7 @@
 		return b.explainServerError()
 	case b.end.Outcome == "answered":
 		return "the request was answered"
-	case b.end.Reason == "deadline":
+	case b.end.Reason == "deadline", b.end.Reason == "queue-long":
 		return b.explainMissedDeadline()
 	case b.end.Reason == "lost-dispatcher":
 		return b.explainLostDispatcher()
@@ -60,7 +60,7 @@
 func (b *storyBuilder) explainMissedDeadline() string {
 	last := b.lastAttempt()
 	for _, l := range b.selected {
-		if l.Message == msgAttempt && l.Upstream == last.upstream && l.Reason == "deadline" {
+		if l.Message == msgAttempt && l.Upstream == last.upstream && (l.Reason == "deadline" || l.Reason == "queue-long") {
 			return fmt.Sprintf("the attempt at %s waited %d ms with %d of %d slots in use and %d others queued, and was refused as too late for its deadline",
 				last.upstream, l.QueuedMs, l.InUse, l.Slots, l.Queued)
 		}
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -33,6 +33,7 @@
 	if e.Outcome != outcome.NotRun {
 		h.runs++
 	}
+	h.queueLong = h.queueLong || e == outcome.HasNotRun(outcome.ReasonQueueLong)
 	if !e.Declined() {
 		h.tried = append(h.tried, u.ID)
 		return
@@ -53,14 +54,17 @@
 
 // insists reports whether the next upstream has to take the attempt even if it is busy.
 func (h *requestHandler) insists() bool {
-	return h.allDeclined || len(h.declined) >= insistAfter && !h.askOthers
+	return !h.askOthers && (h.allDeclined || len(h.declined) >= insistAfter)
 }
 
 // shouldAskOthers reports whether to ask upstreams that were not asked yet although enough have
-// declined: the best of those is failing, so that the request would most likely fail there. One attempt
-// is left for the best of all.
+// declined: the queue of the best one was too long, or the best one is failing, so that the request
+// would most likely fail there. In the second case one attempt is left for the best of all.
 func (h *requestHandler) shouldAskOthers(r *rand.Rand, req balance.Request, candidates []balance.Candidate) bool {
-	if h.allDeclined || len(h.declined) < insistAfter || h.attempts+1 >= retry.MaxAttempts {
+	switch {
+	case h.queueLong:
+		return true
+	case h.allDeclined, len(h.declined) < insistAfter, h.attempts+1 >= retry.MaxAttempts:
 		return false
 	}
 	req.Tried = h.tried
@@ -102,7 +106,7 @@
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.askOthers = h.shouldAskOthers(r, c.balanceReq, candidates)
 	c.balanceReq.Tried, c.balanceReq.LoadsKnown = h.excluded(), h.insists()
-	c.balanceReq.CrossAllowed = h.insists() || h.askOthers || h.in.crossRegion.allowed(h.rq.service.Name, now)
+	c.balanceReq.CrossAllowed = h.insists() || h.askOthers && !h.queueLong || h.in.crossRegion.allowed(h.rq.service.Name, now)
 	for {
 		i, ok := balance.Pick(r, c.balanceReq, candidates)
 		switch {
@@ -135,11 +139,11 @@
 // was a restriction to lift.
 func (c *selection) relax() bool {
 	switch {
-	case len(c.declined) > 0 && !c.balanceReq.LoadsKnown:
-		// All remaining upstreams have declined, and they are fewer than insistAfter.
-		c.allDeclined = true
+	case len(c.declined) > 0 && !c.balanceReq.LoadsKnown && !c.queueLong:
+		// All remaining upstreams have declined.
+		c.allDeclined, c.askOthers = true, false
 		c.balanceReq.Tried, c.balanceReq.LoadsKnown, c.balanceReq.CrossAllowed = c.tried, true, !c.crossLimited
-	case !c.balanceReq.CrossAllowed && !c.crossLimited:
+	case !c.balanceReq.CrossAllowed && !c.crossLimited && !c.queueLong:
 		c.balanceReq.CrossAllowed = true
 	default:
 		return false
--- a/internal/trials/worker.go
+++ b/internal/trials/worker.go
@@ -63,7 +63,7 @@
 	for w.inUse < w.s.d.Slots {
 		t, expired, ok := w.queue.Next(w.s.now())
 		for _, e := range expired {
-			w.refuse(e.ID, outcome.ReasonDeadline)
+			w.refuse(e.ID, e.ExpiryReason(w.s.now()))
 		}
 		if !ok {
 			return
--- a/node/burn.go
+++ b/node/burn.go
@@ -33,7 +33,8 @@
 		}
 	case f.Ended.Outcome == outcome.Unknown:
 		c.Unknown = 1
-	case f.Ended.Reason == outcome.ReasonShed, f.Ended.Reason == outcome.ReasonDeadline, f.Ended.Reason == outcome.ReasonUpstreamShed:
+	case f.Ended.Reason == outcome.ReasonShed, f.Ended.Reason == outcome.ReasonDeadline, f.Ended.Reason == outcome.ReasonQueueLong,
+		f.Ended.Reason == outcome.ReasonUpstreamShed:
 		c.Refused = 1
 	default:
 		c.NotRun = 1
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -57,6 +57,7 @@
 	ReasonShed            Reason = "shed"              // refused during overload, according to its rank
 	ReasonRateLimited     Reason = "rate-limited"      // the caller exceeds its rate limit
 	ReasonDeadline        Reason = "deadline"          // the deadline could not be met
+	ReasonQueueLong       Reason = "queue-long"        // the wait in the upstream's queue is too long for the deadline
 	ReasonPathDown        Reason = "path-down"         // the dispatcher could not be reached
 	ReasonConnect         Reason = "connect-failed"    // connecting to the upstream failed
 	ReasonBusy            Reason = "busy"              // no slot of the upstream is free
@@ -118,13 +119,14 @@
 }
 
 // UsedCapacity reports whether the attempt reached an upstream, or was refused for lack of
-// capacity. It is false for attempts that failed before they reached an upstream and for
-// those that a dispatcher declined.
+// capacity. It is false for attempts that failed before they reached an upstream, for those
+// that a dispatcher declined, and for those that only waited in a queue.
 func (e Ended) UsedCapacity() bool {
 	switch {
 	case e.Outcome != NotRun:
 		return true
-	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect, e.Declined():
+	case e.Reason == ReasonDraining, e.Reason == ReasonUpstreamGone, e.Reason == ReasonPathDown, e.Reason == ReasonConnect,
+		e.Reason == ReasonQueueLong, e.Declined():
 		return false
 	}
 	return true
