Count a leave as announced after a push and two sends

Cause: Leave waited until the change had been sent as often as any change, 1.5 times log2 of the fleet's size on probes, about 9 at 41 nodes. Change: pushed and sent twice is enough, since those that received it pass it on. Test: TestLeaveIsAnnouncedSoon kills the node right after and checks that all of 41 nodes know; with the old condition it fails at 2.5 s.

--- a/gossip/core_test.go
+++ b/gossip/core_test.go
@@ -101,6 +101,28 @@
 	s.wantState(5, fleet.NodeDead, allExcept(30, 5)...)
 }
 
+// Guards against a planned stop that waits until its announcement was sent as often as any change,
+// which takes longer than a stop may, and against a wait so short that nodes do not learn of it. Load: a
+// fleet of 41 nodes, one of which is killed as soon as its leave counts as announced.
+func TestLeaveIsAnnouncedSoon(t *testing.T) {
+	for node := range 10 {
+		s := newSim(t, 41, 2, 2)
+		c := s.nodes[node]
+		c.setOwnState(s.now, fleet.NodeLeaving)
+		s.collect(c)
+		s.until(2500*time.Millisecond, "the leave is announced", func() bool { return !c.announcingSelf() })
+		s.kill(node)
+		s.until(2*time.Second, "all nodes know of the leave", func() bool {
+			for _, o := range allExcept(41, node) {
+				if st, _ := s.state(o, node); st != fleet.NodeLeaving && st != fleet.NodeDead {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
 // Guards against memory that grows with every node that ever existed.
 func TestDeadMembersExpire(t *testing.T) {
 	s := newSim(t, 6, 1, 5)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -258,12 +258,11 @@
 	return nil
 }
 
-// announcing reports whether this node's state is still queued for other members.
+// announcing reports whether other members may not have heard of this node's state yet.
 func (g *Gossip) announcing() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, queued := g.core.queue.items[recordPart{g.core.self.id, partStatus, ""}]
-	return queued && g.core.fleetSize() > 1
+	return g.core.announcingSelf()
 }
 
 // announceDead announces this node as dead if it is leaving, so that the others don't have to detect
--- a/gossip/push.go
+++ b/gossip/push.go
@@ -116,6 +116,16 @@
 	return out[:min(n, len(out))]
 }
 
+// announcedSends is how many times a change of this node is sent on probes and acks, after it was
+// pushed, until it counts as announced. Those that received it pass it on.
+const announcedSends = 2
+
+// announcingSelf reports whether the state of this node was not sent often enough yet.
+func (c *core) announcingSelf() bool {
+	it := c.queue.items[recordPart{c.self.id, partStatus, ""}]
+	return it != nil && c.fleetSize() > 1 && (it.fresh || it.sends < announcedSends)
+}
+
 // pushConfigNotice notifies random members of the node's new configuration version. Every message
 // carries the version, so the notice has no updates.
 func (c *core) pushConfigNotice() {
