Answer requests that were read while the server stops

Cause: net/http drops a request whose head it has read once Shutdown was called (server.go: 'if c.server.shuttingDown() { return }' after readRequest), and the node called Shutdown at the end of the lame-duck time. Callers whose connection was accepted just before, or whose head arrived in parts, got no answer. Change: package httpdrain closes the listener, closes connections from which nothing was read, and waits for those with a request that is being read or answered (1 s for heads read in part). Node and control use it. Ruled out: a longer wait for Shutdown, which itself cuts; answers that are written but not flushed (the state changes after the flush). Test: TestStopAnswersRequestsThatWereAccepted (half a head, half a body, a silent new connection, a running request) fails without the change: half a head and silent got EOF in 7 of 7 runs.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -17,6 +17,7 @@
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/server"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/httpdrain"
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/link/tlslink"
@@ -96,6 +97,7 @@
 	server   *server.Server
 
 	api, debug     *http.Server
+	apiConns       *httpdrain.Conns
 	apiLn, debugLn net.Listener
 }
 
@@ -170,6 +172,8 @@
 		return fmt.Errorf("controld: API address: %w", err)
 	}
 	d.api = newHTTPServer(handler, d.log)
+	d.apiConns = httpdrain.New()
+	d.api.ConnState = d.apiConns.Track
 	d.api.TLSConfig = ring.API()
 	if d.settings.DebugAddr == "" {
 		return nil
@@ -232,10 +236,11 @@
 }
 
 func (d *Daemon) serveAPI() error {
+	ln := httpdrain.Listener(d.apiLn)
 	if d.api.TLSConfig == nil {
-		return d.api.Serve(d.apiLn)
+		return d.api.Serve(ln)
 	}
-	return d.api.ServeTLS(d.apiLn, "", "")
+	return d.api.ServeTLS(ln, "", "")
 }
 
 // shutdown ends watches, waits for in-flight requests and closes the rest. stop cancels the handlers
@@ -246,7 +251,8 @@
 	if d.server != nil {
 		d.server.Close()
 	}
-	err := d.api.Shutdown(ctx)
+	d.apiLn.Close()
+	err := d.apiConns.Finish(ctx)
 	if err != nil {
 		err = fmt.Errorf("controld: API requests still in flight at shutdown: %w", err)
 	}
--- a/node/new.go
+++ b/node/new.go
@@ -13,6 +13,7 @@
 	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/httpdrain"
 	"github.com/godwithub/godwithub/ingress"
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
@@ -147,7 +148,8 @@
 	if n.callerLn, err = net.Listen("tcp", n.settings.CallerAddr); err != nil {
 		return fmt.Errorf("node: caller address: %w", err)
 	}
-	n.callerServer = newCallerServer(n.ingress)
+	n.callerConns = httpdrain.New()
+	n.callerServer = newCallerServer(n.ingress, n.callerConns)
 	if n.announceLn, err = net.Listen("tcp", n.settings.AnnounceAddr); err != nil {
 		return fmt.Errorf("node: announce address: %w", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/godwithub/godwithub/burn"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/httpdrain"
 	"github.com/godwithub/godwithub/ingress"
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
@@ -55,6 +56,7 @@
 	background context.Context
 
 	callerServer, announcements, ready, debug *http.Server
+	callerConns                               *httpdrain.Conns
 	callerLn, announceLn, readyLn, debugLn    net.Listener
 }
 
@@ -107,7 +109,7 @@
 const headerTimeout = 10 * time.Second
 
 // newCallerServer returns the HTTP server for callers: HTTP/1.1, and HTTP/2 without TLS.
-func newCallerServer(h http.Handler) *http.Server {
+func newCallerServer(h http.Handler, conns *httpdrain.Conns) *http.Server {
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	p.SetUnencryptedHTTP2(true)
@@ -117,6 +119,7 @@
 		MaxHeaderBytes:    ingress.MaxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * time.Minute,
+		ConnState:         conns.Track,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 }
@@ -180,7 +183,7 @@
 	})
 	g.Go(func() error { return n.mux.Serve(runCtx, n.listener) })
 	g.Go(func() error { return n.configSource.Run(runCtx) })
-	g.Go(func() error { return serve(n.callerServer, n.callerLn) })
+	g.Go(func() error { return serve(n.callerServer, httpdrain.Listener(n.callerLn)) })
 	g.Go(func() error { return serve(n.announcements, n.announceLn) })
 	if n.debug != nil {
 		g.Go(func() error { return serve(n.debug, n.debugLn) })
@@ -236,12 +239,12 @@
 	// It may take a while until the other nodes know that this node leaves. Callers are served
 	// meanwhile.
 	leaveResult := make(chan error, 1)
-	go func() { leaveResult <- n.membership.Leave(ctx) }()
+	go func() { leaveResult <- wrap("announcement of the leave", n.membership.Leave(ctx)) }()
 	n.lameDuck(ctx)
-	err := n.finishRequests(ctx)
+	err := wrap("requests of callers", n.finishRequests(ctx))
 	// Attempts from other nodes are refused only now, when they have had time to learn that
 	// this node leaves.
-	err = errors.Join(err, n.dispatcher.Leave(ctx), <-leaveResult)
+	err = errors.Join(err, wrap("attempts of other nodes", n.dispatcher.Leave(ctx)), <-leaveResult)
 	n.closeAll()
 	if err != nil {
 		return fmt.Errorf("node: leave: %w", err)
@@ -250,20 +253,20 @@
 	return nil
 }
 
-// finishRequests closes the listener for callers and waits for their requests in flight.
-// Idle connections are closed, so that callers connect to other nodes.
-func (n *Node) finishRequests(ctx context.Context) error {
-	closed := make(chan error, 1)
-	go func() { closed <- n.callerServer.Shutdown(ctx) }()
-	err := n.ingress.Leave(ctx)
-	// http.Server.Shutdown polls for idle connections at intervals of up to half a second.
-	// Once all requests are answered, only the last bytes of answers may be unsent, so wait
-	// no longer than flushTimeout.
-	select {
-	case <-closed:
-	case <-time.After(flushTimeout):
+// wrap adds to err what did not end before a stop. It returns nil if err is nil.
+func wrap(what string, err error) error {
+	if err != nil {
+		return fmt.Errorf("%s: %w", what, err)
 	}
-	return err
+	return nil
+}
+
+// finishRequests closes the listener for callers and waits for their requests in flight, and for
+// those that are still being read. Idle connections are closed, so that callers connect to other
+// nodes.
+func (n *Node) finishRequests(ctx context.Context) error {
+	n.callerLn.Close()
+	return errors.Join(n.callerConns.Finish(ctx), n.ingress.Leave(ctx))
 }
 
 // closeAll closes listeners, connections and servers, for backgroundTimeout at most. Some of
@@ -272,6 +275,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		n.callerServer.Close()
 		n.announcements.Close()
 		n.groups.stop()
 		n.listener.Close()
@@ -303,8 +307,6 @@
 	// answerMargin is how long before the time for a stop runs out the requests in flight are
 	// interrupted, so that they can still be answered.
 	answerMargin = 250 * time.Millisecond
-	// flushTimeout bounds the wait for the last bytes of answers to be sent.
-	flushTimeout = 100 * time.Millisecond
 	// backgroundTimeout bounds each wait for background work to end after a stop.
 	backgroundTimeout = 150 * time.Millisecond
 )
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/keys"
+)
+
+func dial(t *testing.T, addr string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c
+}
+
+// Guards against a planned stop that cuts requests off without an answer: one whose head was read in
+// part when the listener closed, one on a connection that was accepted just before, one with a body
+// that is still on its way, and one that its upstream is at work on.
+func TestStopAnswersRequestsThatWereAccepted(t *testing.T) {
+	keyDir := t.TempDir()
+	assert.NilError(t, keys.Init(keyDir))
+	m := &fakeMembership{nodes: map[fleet.NodeID]fleet.Node{}, config: testSet()}
+	n, stop := startNode(t, m, keyDir, "a", "tls")
+	upstream := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		fmt.Fprint(w, "done")
+	})}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go upstream.Serve(ln)
+	defer upstream.Close()
+	announceUpstream(t, n, "u1", ln.Addr().String(), false)
+	waitForUpstreams(t, n, 1)
+
+	halfHead, halfBody, silent, running := dial(t, n.settings.CallerAddr), dial(t, n.settings.CallerAddr), dial(t, n.settings.CallerAddr), dial(t, n.settings.CallerAddr)
+	io.WriteString(halfHead, "GET /list HTTP/1.1\r\nHost: shop\r\n")
+	io.WriteString(halfBody, "POST /orders HTTP/1.1\r\nHost: shop\r\nContent-Length: 5\r\n\r\nlo")
+	io.WriteString(running, "GET /list HTTP/1.1\r\nHost: shop\r\n\r\n")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n.dispatcher.Metrics().Get("attempts").String() == "1" {
+			return poll.Success()
+		}
+		return poll.Continue("the first request is not at its upstream")
+	}, poll.WithDelay(time.Millisecond))
+	go stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c, err := net.Dial("tcp", n.settings.CallerAddr)
+		if err != nil {
+			return poll.Success()
+		}
+		c.Close()
+		return poll.Continue("the listener is open")
+	}, poll.WithDelay(time.Millisecond))
+	io.WriteString(silent, "GET /list HTTP/1.1\r\nHost: shop\r\n\r\n")
+	// The last bytes arrive after the request that was running has ended.
+	assert.Equal(t, readStatus(t, running), http.StatusOK)
+	io.WriteString(halfHead, "\r\n")
+	io.WriteString(halfBody, "tus")
+	for name, c := range map[string]net.Conn{"half a head": halfHead, "half a body": halfBody, "silent": silent} {
+		status := readStatus(t, c)
+		assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%s: status %d", name, status)
+	}
+}
+
+// readStatus reads a whole answer and returns its status, or 0 if the connection ended without one.
+func readStatus(t *testing.T, c net.Conn) int {
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Logf("no answer: %v", err)
+		return 0
+	}
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode
+}
