Stream large request bodies to the upstream

Cause: ingress and dispatcher held each body in memory, allocated what its head announced, and refused above 1 MiB whatever max_body_bytes says. Change: package reqbody holds up to 256 KiB of a body (32 KiB each always, the rest within 24 MiB a node). The rest of a larger one stays with the caller until the dispatcher has a slot and asks for it (FrameContinue); it then passes through frames of 8 KiB with back-pressure. Until the body was opened, the request may be offered to other upstreams; afterwards it is not sent again. The limit is that of the configuration. A stream that ends between two frames is a cut body. The bytes of a body count before a request crosses a region. The relay keeps a stream only after the body has passed. Ruled out: holding the start at the dispatcher (memory of each queue), reuse of a stream whose body was not read to its end. Found by these tests while building: a body cut between two frames counted as whole, and a refused body ended its handler. Also: TestClaimOutlivesTheStreamThatAskedForIt waits until both streams are attached.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -39,6 +39,16 @@
 	})
 }
 
+// writeContinue asks for the body of a streamed attempt.
+func (w *answerWriter) writeContinue() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err == nil {
+		w.err = w.stream.WriteFrame(wire.FrameContinue, nil)
+	}
+	return w.err
+}
+
 // writeHead buffers the answer head, which is sent with the first body frame or the end frame.
 func (w *answerWriter) writeHead(h *wire.AnswerHead) {
 	if w.attempt != nil {
@@ -86,8 +96,13 @@
 	w.bodyBytes += int64(len(b))
 }
 
-// finish sends the outcome and closes the stream, or resets it after a write error.
-func (w *answerWriter) finish(end wire.AnswerEnd) {
+// noneUnread says that the ingress sends nothing more on a stream.
+func noneUnread() bool { return false }
+
+// finish sends the outcome and closes the stream, or resets it after a write error. If unread reports
+// true, the ingress may still be sending the body of the request: it resets the stream when it has read
+// the outcome, which a reset from this side could overtake.
+func (w *answerWriter) finish(end wire.AnswerEnd, unread func() bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.finished = true
@@ -96,9 +111,25 @@
 	if w.err == nil {
 		w.err = wire.Write(w.stream, wire.FrameAnswerEnd, &end)
 	}
-	if w.err != nil {
-		w.stream.Reset()
+	if w.err == nil && !unread() {
+		w.stream.Close()
 		return
 	}
-	w.stream.Close()
+	if w.err == nil {
+		awaitReset(w.stream)
+	}
+	w.stream.Reset()
+}
+
+// resetTimeout bounds the wait for the ingress to reset a stream.
+const resetTimeout = time.Second
+
+// awaitReset reads from s until the ingress resets it.
+func awaitReset(s link.Stream) {
+	s.SetReadDeadline(time.Now().Add(resetTimeout))
+	for {
+		if _, err := s.ReadFrame(); err != nil {
+			return
+		}
+	}
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -70,6 +70,19 @@
 	return f
 }
 
+// attachedStreams returns how many streams wait for an attempt.
+func (f *fixture) attachedStreams(id string) int {
+	f.attempts.mu.Lock()
+	a := f.attempts.attempts[id]
+	f.attempts.mu.Unlock()
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.streams
+}
+
 func (f *fixture) open() link.Stream {
 	near, far := link.Pipe("ingress", "dispatcher")
 	f.mux.Start(far)
@@ -134,6 +147,13 @@
 	head := orderHead("a")
 	head.Key = "k"
 	first, second := begin(t, f, head), begin(t, f, head)
+	// An attempt is acknowledged before its stream is attached to it.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := f.attachedStreams("a"); n != 2 {
+			return poll.Continue("%d streams are attached", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	first.Reset()
 	_, end := finish(t, second)
 	assert.Equal(t, end.Reason, outcome.ReasonHeldByOther)
--- a/dispatch/httpconn/exchange.go
+++ b/dispatch/httpconn/exchange.go
@@ -45,16 +45,19 @@
 }
 
 // Do sends req, whose answer carries the given ID, and returns the answer's head. The caller reads the
-// body to its end or closes it. If ctx ends, the connection is closed, also while the body is read.
+// body to its end or closes it. Do closes the body of req once it does not read it any more, which may
+// be after it has returned. If ctx ends, the connection is closed, also while the body is read.
 func (c *Client) Do(ctx context.Context, req *http.Request, id string) (*http.Response, error) {
 	select {
 	case c.slots <- struct{}{}:
 	case <-ctx.Done():
+		closeBody(req)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, ctx.Err())
 	}
 	cn, err := c.acquire(ctx)
 	if err != nil {
 		<-c.slots
+		closeBody(req)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	cn.remember(id)
@@ -69,6 +72,12 @@
 	return resp, nil
 }
 
+func closeBody(req *http.Request) {
+	if req.Body != nil {
+		req.Body.Close()
+	}
+}
+
 // run sends the request and returns the head of its answer.
 func (x *exchange) run(ctx context.Context) (*http.Response, error) {
 	x.req.Close = !x.client.keepsConns()
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -29,21 +29,24 @@
 		s.Reset()
 		return
 	}
-	var answered atomic.Bool
+	r := &relay{ingress: s, dispatcher: out}
 	requestCopied := make(chan struct{})
 	go func() {
 		defer close(requestCopied)
-		if end, err := copyFrames(s, out, wire.FrameEnd); err == nil && out.WriteFrame(end.Type, end.Payload) == nil {
-			// The ingress sends nothing more: the read returns when the ingress gives up or the
-			// answer is complete.
-			s.ReadFrame()
-		}
-		if !answered.Load() {
-			out.Reset()
-		}
+		r.copyRequest()
 	}()
-	end, err := copyFrames(out, s, wire.FrameAnswerEnd)
-	answered.Store(err == nil)
+	end, err := r.copyAnswer()
+	r.answered.Store(err == nil)
+	if err == nil && r.bodyUnread() {
+		// The ingress resets the stream when it has read the outcome; see answerWriter.finish.
+		if err = s.WriteFrame(end.Type, end.Payload); err == nil {
+			s.SetReadDeadline(time.Now().Add(resetTimeout))
+			<-requestCopied
+		}
+		s.Reset()
+		out.Reset()
+		return
+	}
 	// Stop reading before the end of the answer is sent: after that the ingress may reuse the
 	// connection for its next exchange, whose first frame must not be read here.
 	s.SetReadDeadline(time.Now())
@@ -57,6 +60,50 @@
 	s.Close()
 }
 
+// relay copies the frames of one attempt between its ingress and its dispatcher.
+type relay struct {
+	ingress, dispatcher link.Stream
+	// answered is set once the whole answer has been read.
+	answered atomic.Bool
+	// bodyAsked and bodyEnded are set once the dispatcher has asked for a streamed body, and once the
+	// end of a body has passed.
+	bodyAsked, bodyEnded atomic.Bool
+}
+
+// bodyUnread reports whether the ingress may still be sending a streamed body.
+func (r *relay) bodyUnread() bool { return r.bodyAsked.Load() && !r.bodyEnded.Load() }
+
+// copyRequest copies the request, and then waits until the ingress gives up or is not read any more.
+func (r *relay) copyRequest() {
+	end, err := copyFrames(r.ingress, r.dispatcher, wire.FrameEnd)
+	if err == nil {
+		r.bodyEnded.Store(true)
+		err = r.dispatcher.WriteFrame(end.Type, end.Payload)
+	}
+	if err == nil {
+		r.ingress.ReadFrame()
+	}
+	if !r.answered.Load() {
+		r.dispatcher.Reset()
+	}
+}
+
+// copyAnswer copies the answer up to its end, which it returns without copying it.
+func (r *relay) copyAnswer() (link.Frame, error) {
+	for {
+		f, err := r.dispatcher.ReadFrame()
+		if err != nil || f.Type == wire.FrameAnswerEnd {
+			return f, err
+		}
+		if f.Type == wire.FrameContinue {
+			r.bodyAsked.Store(true)
+		}
+		if err := r.ingress.WriteFrame(f.Type, f.Payload); err != nil {
+			return f, err
+		}
+	}
+}
+
 // copyFrames copies frames until the first of type last, which it returns without copying it.
 func copyFrames(from, to link.Stream, last link.FrameType) (link.Frame, error) {
 	for {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -26,7 +25,7 @@
 
 // run waits for a slot and the claim of an attempt, sends it to its upstream and writes the answer
 // to w.
-func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body []byte, w *answerWriter) wire.AnswerEnd {
+func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body *requestBody, w *answerWriter) wire.AnswerEnd {
 	c := a.claim
 	u, leaving, done := d.beginAttempt(fleet.UpstreamID(head.Upstream))
 	defer done()
@@ -55,6 +54,12 @@
 		}
 		return newAnswerEnd(u, e)
 	}
+	if err := body.begin(w); err != nil {
+		// The ingress has left, or has not sent a byte by the deadline.
+		u.release(ticket, 0)
+		c.abandon()
+		return newAnswerEnd(u, outcome.HasNotRun(outcome.ReasonCanceled))
+	}
 	if !u.start(ticket, head.Fingerprint) {
 		u.release(ticket, 0)
 		c.abandon()
@@ -137,7 +142,7 @@
 const leastUrgentLevel = 31
 
 // exchange sends the request to the upstream and writes its answer to w.
-func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body []byte, w *answerWriter) (outcome.Ended, Result) {
+func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body *requestBody, w *answerWriter) (outcome.Ended, Result) {
 	ctx := a.ctx
 	if !head.Idempotent {
 		// A request that must not run twice is not canceled when its caller disconnects: its outcome
@@ -183,13 +188,13 @@
 
 // roundTrip sends the request and returns the head of its answer. If a kept connection turns out to be
 // closed, an idempotent request is sent once more over a new one.
-func (d *Dispatcher) roundTrip(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) (*http.Response, error) {
+func (d *Dispatcher) roundTrip(ctx context.Context, u *upstream, head *wire.AttemptHead, body *requestBody) (*http.Response, error) {
 	resp, err := u.client.Do(ctx, d.newRequest(ctx, u, head, body), head.RequestID)
 	if errors.Is(err, httpconn.ErrStale) {
 		// The upstream may have closed the other idle connections as well.
 		u.client.CloseIdle()
 		notSent := errors.Is(err, httpconn.ErrNotSent)
-		if head.Idempotent || notSent {
+		if body.streamed == nil && (head.Idempotent || notSent) {
 			var again error
 			resp, again = u.client.Do(ctx, d.newRequest(ctx, u, head, body), head.RequestID)
 			// The first one may have run even if the second one was not sent.
@@ -231,7 +236,7 @@
 }
 
 // newRequest returns the HTTP request to the upstream.
-func (d *Dispatcher) newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body []byte) *http.Request {
+func (d *Dispatcher) newRequest(ctx context.Context, u *upstream, head *wire.AttemptHead, body *requestBody) *http.Request {
 	req := &http.Request{
 		Method:        head.Method,
 		URL:           head.URL(u.addr),
@@ -240,10 +245,10 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
-		ContentLength: int64(len(body)),
+		ContentLength: body.length,
 	}
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
+	if r := body.open(); r != nil {
+		req.Body = r
 	}
 	for _, h := range head.Headers {
 		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -11,9 +11,6 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-// MaxRequestBody is the largest request body, in bytes.
-const MaxRequestBody = 1 << 20
-
 // serveAttempt serves one stream of an attempt. It acknowledges the attempt at once, so that the
 // ingress can distinguish a failure of the path from a slow upstream.
 func (d *Dispatcher) serveAttempt(_ context.Context, s link.Stream, first link.Frame) {
@@ -47,7 +44,7 @@
 	if !isNew {
 		d.stats.duplicates.Add(1)
 	}
-	body, err := readBody(s, head, deadline)
+	body, err := d.requestBody(a, s, head, deadline)
 	if err != nil {
 		d.attempts.detach(a)
 		s.Reset()
@@ -58,43 +55,45 @@
 		return
 	}
 	w := newAnswerWriter(s, a, head)
-	stop := d.watchStream(a, s)
+	body.watch()
 	w.keepAlive()
 	end = d.run(a, head, body, w)
 	end.ServedMs = a.served.Milliseconds()
 	d.logAttempt(a, head, &end)
 	d.recordMetrics(a, head, &end)
 	d.attempts.finish(a, end)
-	stop()
+	body.stop()
 	d.count(end.Outcome)
-	w.finish(end)
+	w.finish(end, body.unread)
 }
 
-// finishDeclined ends an attempt that was declined. The body of an idempotent one is read first, as
-// the ingress sends it without waiting for the acknowledgement.
+// finishDeclined ends an attempt that was declined. The body of an idempotent one that is not streamed
+// is read first, as the ingress sends it without waiting for the acknowledgement.
 func (d *Dispatcher) finishDeclined(s link.Stream, head *wire.AttemptHead, end wire.AnswerEnd, deadline time.Time) {
 	d.count(end.Outcome)
 	d.stats.declined.Add(string(end.Reason), 1)
-	if head.Idempotent {
+	if head.Idempotent && !head.Streamed {
 		if _, err := readBody(s, head, deadline); err != nil {
 			s.Reset()
 			return
 		}
 	}
-	newAnswerWriter(s, nil, head).finish(end)
+	newAnswerWriter(s, nil, head).finish(end, noneUnread)
 }
 
 // refuseOtherIncarnation ends an attempt that an earlier incarnation of this dispatcher has
 // acknowledged. Whether that process ran it is not known here.
 func (d *Dispatcher) refuseOtherIncarnation(s link.Stream, head *wire.AttemptHead, deadline time.Time) {
 	d.stats.foreign.Add(1)
-	if _, err := readBody(s, head, deadline); err != nil {
-		s.Reset()
-		return
+	if !head.Streamed {
+		if _, err := readBody(s, head, deadline); err != nil {
+			s.Reset()
+			return
+		}
 	}
 	d.log.Info("attempt was acknowledged by an earlier incarnation of the dispatcher", "request", head.RequestID, "attempt", head.AttemptID)
 	w := newAnswerWriter(s, nil, head)
-	w.finish(wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonLostDispatcher})
+	w.finish(wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonLostDispatcher}, noneUnread)
 }
 
 func decodeHead(payload []byte, head *wire.AttemptHead) error {
@@ -106,7 +105,7 @@
 		return errors.New("dispatch: attempt without an attempt ID or a request ID")
 	case head.RemainingMs <= 0:
 		return errors.New("dispatch: attempt arrived without time left to its deadline")
-	case head.BodyBytes < 0 || head.BodyBytes > MaxRequestBody:
+	case head.Streamed && head.BodyBytes < -1, !head.Streamed && (head.BodyBytes < 0 || head.BodyBytes > maxHeldBody):
 		return fmt.Errorf("dispatch: request body of %d bytes is negative or too large", head.BodyBytes)
 	}
 	return nil
@@ -171,7 +170,7 @@
 		w.writeHead(answerHead)
 		w.writeBody(body)
 	}
-	w.finish(end)
+	w.finish(end, noneUnread)
 }
 
 // logAttempt logs how an attempt ended, and the load of its upstream.
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -49,9 +49,10 @@
 	return true
 }
 
-// receive reads an answer up to its end. An error means that the route failed, that the answer is
-// malformed or incomplete, or that it could not be written to the caller.
-func (a *answer) receive(s link.Stream, rq *request) (*wire.AnswerEnd, error) {
+// receive reads an answer up to its end. It calls sendBody when the dispatcher asks for the body. An
+// error means that the route failed, that the answer is malformed or incomplete, or that it could not be
+// written to the caller.
+func (a *answer) receive(s link.Stream, rq *request, sendBody func()) (*wire.AnswerEnd, error) {
 	a.reset()
 	for {
 		s.SetReadDeadline(time.Now().Add(silenceTimeout))
@@ -61,6 +62,8 @@
 		}
 		switch f.Type {
 		case wire.FrameAck:
+		case wire.FrameContinue:
+			sendBody()
 		case wire.FrameAnswer:
 			err = a.handleHead(f.Payload, rq)
 		case wire.FrameData:
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -56,7 +56,9 @@
 	// It is the last known incarnation of the dispatcher at that time, which may have run the
 	// request.
 	unackedIncarnation *uint64
-	answer             *answer
+	// bodyFault is set if the body could not be read from the caller.
+	bodyFault *bodyFault
+	answer    *answer
 	// failedStreams holds the streams of failed routes. They stay open until the attempt has ended,
 	// since a dispatcher that sees a stream reset might cancel the attempt while it is sent again
 	// over another route.
@@ -84,6 +86,12 @@
 		if a.answer.begun {
 			return outcome.MayHaveRun(outcome.ReasonShortAnswer), nil
 		}
+		if a.bodyFault != nil {
+			return a.bodyFault.outcome(), nil
+		}
+		if !a.rq.body.Replayable() {
+			break
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) && r != routeRelay {
 			// The process is gone, so no other route can reach it. Other nodes are preferred
 			// until it is back or the membership shows that it is dead.
@@ -240,23 +248,28 @@
 	if r != routeRelay {
 		a.in.paths.recordAck(a.upstream.Node, time.Since(sent))
 	}
-	if !a.rq.kind.Idempotent && !ack.Declined {
+	if a.waitsForAck() && !a.head.Streamed && !ack.Declined {
 		if err := a.sendRest(s); err != nil {
 			return nil, err
 		}
 	}
-	return a.answer.receive(s, a.rq)
+	upload := &upload{attempt: a, stream: s}
+	defer upload.stop()
+	return a.answer.receive(s, a.rq, upload.start)
 }
 
-// send writes the request. If it is not idempotent, only its head is sent before the
-// acknowledgement. The dispatcher runs nothing before it has the end of the request, so without an
+// waitsForAck reports whether only the head is sent before the acknowledgement: the request must not run
+// twice, or its body can be sent only once.
+func (a *attempt) waitsForAck() bool { return !a.rq.kind.Idempotent || a.head.Streamed }
+
+// send writes the request, or only its head if it waits for the acknowledgement. The dispatcher runs nothing before it has the end of the request, so without an
 // acknowledgement the request is known not to have run.
 func (a *attempt) send(s link.Stream) error {
 	head, err := wire.Encode(a.head)
 	if err != nil {
 		return err
 	}
-	if !a.rq.kind.Idempotent {
+	if a.waitsForAck() {
 		return s.WriteFrame(wire.FrameAttempt, head)
 	}
 	if err := s.BufferFrame(wire.FrameAttempt, head); err != nil {
@@ -268,7 +281,7 @@
 // sendRest writes the body and the end of the request, after which the dispatcher may run it.
 func (a *attempt) sendRest(s link.Stream) error {
 	a.mayRun = true
-	if err := bufferChunks(s, a.rq.body); err != nil {
+	if err := bufferChunks(s, a.rq.body.Held()); err != nil {
 		return err
 	}
 	return s.WriteFrame(wire.FrameEnd, nil)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/godwithub/godwithub/idempotency"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/metrics"
+	"github.com/godwithub/godwithub/reqbody"
 	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -28,9 +29,9 @@
 	Log    *slog.Logger
 	View   func() *board.View
 	Dialer link.Dialer
-	// CrossRegion reports whether a request of the given rank level, whose answer has about
-	// answerBytes bytes, may be sent to another region. If nil, it always may.
-	CrossRegion func(level int, answerBytes int64) bool
+	// CrossRegion reports whether a request of the given rank level, whose body and answer together
+	// have about the given number of bytes, may be sent to another region. If nil, it always may.
+	CrossRegion func(level int, bytes int64) bool
 	// Record is called when a request that got past parsing and rate limits ends, for reports. It
 	// must not block. It may be nil.
 	Record func(Finished)
@@ -53,6 +54,9 @@
 	LameDuck bool
 }
 
+// heldBodyBytes bounds the memory of the request bodies that are held, beyond a small part of each.
+const heldBodyBytes = 24 << 20
+
 // Ingress is the HTTP handler for callers. It is safe for concurrent use.
 type Ingress struct {
 	cfg         Config
@@ -61,6 +65,7 @@
 	paths       *pathTable
 	crossRegion *crossRegionTable
 	trace       *traceLog
+	bodies      *reqbody.Budget
 
 	mu      sync.Mutex
 	budgets map[string]*lockedBudget
@@ -109,6 +114,7 @@
 		paths:       newPathTable(),
 		crossRegion: newCrossRegionTable(),
 		trace:       newTraceLog(),
+		bodies:      reqbody.NewBudget(heldBodyBytes),
 		budgets:     map[string]*lockedBudget{},
 		limits:      map[string]*callerLimit{},
 	}
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -126,7 +126,7 @@
 	case c.in.loads.refuses(u.ID, c.rq, c.now):
 		c.in.stats.shedEarly.Add(1)
 		c.balanceReq.Tried = append(slices.Clip(c.balanceReq.Tried), u.ID)
-	case crossesRegion && c.in.cfg.CrossRegion != nil && !c.in.cfg.CrossRegion(c.rq.level, c.rq.kind.AnswerBytes):
+	case crossesRegion && c.in.cfg.CrossRegion != nil && !c.in.cfg.CrossRegion(c.rq.level, c.rq.kind.AnswerBytes+max(0, c.rq.body.Length())):
 		c.crossLimited, c.balanceReq.CrossAllowed = true, false
 	default:
 		return true
--- a/ingress/pick_test.go
+++ b/ingress/pick_test.go
@@ -10,6 +10,7 @@
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/reqbody"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
@@ -47,7 +48,7 @@
 		v.Upstreams["shop"] = append(v.Upstreams["shop"], u)
 	}
 	in := New(Config{Log: logging.Discard(), View: func() *board.View { return v }})
-	rq := &request{service: &resource.Service{Meta: resource.Meta{Name: "shop"}}, kind: &resource.RequestKind{}}
+	rq := &request{service: &resource.Service{Meta: resource.Meta{Name: "shop"}}, kind: &resource.RequestKind{}, body: &reqbody.Body{}}
 	return &requestHandler{in: in, view: v, rq: rq}
 }
 
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -16,6 +16,7 @@
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/reqbody"
 	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -41,7 +42,8 @@
 	shedHash    uint64
 	key         string
 	deadline    time.Time
-	body        []byte
+	body        *reqbody.Body
+	conn        *http.ResponseController // of a request with a body
 	fingerprint uint64
 	// origin is the service of the VM where the request came in.
 	origin string
@@ -64,10 +66,10 @@
 // newRequestID returns a UUIDv7, which carries the time of the request.
 func newRequestID() string { return uuid.Must(uuid.NewV7()).String() }
 
-// parse validates a caller's request, matches it to its kind and reads its body. The id of
+// parse validates the head of a caller's request and matches it to its kind. The id of
 // the returned request is set even if parse returns a refusal.
 func (in *Ingress) parse(v *board.View, r *http.Request, now time.Time) (*request, error) {
-	rq := &request{began: now, http: r, origin: in.cfg.Origin}
+	rq := &request{began: now, http: r, origin: in.cfg.Origin, body: &reqbody.Body{}}
 	if err := rq.setID(in.cfg.CallerProtocol.RequestID); err != nil {
 		return rq, err
 	}
@@ -83,7 +85,7 @@
 	if err := rq.readHeaders(&in.cfg.CallerProtocol); err != nil {
 		return rq, err
 	}
-	return rq, rq.readBody()
+	return rq, nil
 }
 
 // setID sets the id of the request from the header with that name, or generates one if the name is
@@ -181,27 +183,60 @@
 	return true
 }
 
-func (rq *request) readBody() error {
-	if rq.http.ContentLength > dispatch.MaxRequestBody {
-		return refuse(outcome.ReasonTooLarge, "body of %d bytes is over %d", rq.http.ContentLength, dispatch.MaxRequestBody)
+// defaultMaxBodyBytes is the largest request body where the configuration has no limit, in bytes.
+const defaultMaxBodyBytes = 1 << 20
+
+// maxBodyBytes returns the largest body that a request may have, in bytes.
+func maxBodyBytes(c *resource.Config) int64 {
+	if c.Limits == nil || c.Limits.MaxBodyBytes == 0 {
+		return defaultMaxBodyBytes
+	}
+	return c.Limits.MaxBodyBytes
+}
+
+// readBody reads the body, or the start of one that is too large to be held. The rest of such a body is
+// read until the deadline.
+func (in *Ingress) readBody(v *board.View, rq *request, w http.ResponseWriter) error {
+	limit := maxBodyBytes(v.Config)
+	if rq.http.ContentLength > limit {
+		return refuse(outcome.ReasonTooLarge, "body of %d bytes is over %d", rq.http.ContentLength, limit)
 	}
 	if rq.http.Body != nil && rq.http.Body != http.NoBody {
-		body, err := io.ReadAll(http.MaxBytesReader(nil, rq.http.Body, dispatch.MaxRequestBody))
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge):
-			return refuse(outcome.ReasonTooLarge, "body is over %d bytes", dispatch.MaxRequestBody)
-		case err != nil:
-			return refuse(outcome.ReasonBadRequest, "body: %v", err)
+		// Writers that support no deadlines, as in tests, read from memory.
+		rq.conn = http.NewResponseController(w)
+		rq.conn.SetReadDeadline(rq.deadline)
+		if err := rq.holdBody(limit, in.bodies); err != nil {
+			return err
+		}
+		if rq.body.Whole() {
+			// The server goes on reading, to notice when the caller leaves.
+			rq.conn.SetReadDeadline(time.Time{})
 		}
-		rq.body = body
 	}
 	rq.fingerprint = rq.contentHash()
 	return nil
 }
 
-// contentHash returns a hash of the request's kind, URI and body. It is the same when the caller
-// sends the request again.
+// releaseBody gives the memory of the body back.
+func (rq *request) releaseBody() { rq.body.Release() }
+
+func (rq *request) holdBody(limit int64, budget *reqbody.Budget) error {
+	body, err := reqbody.Read(http.MaxBytesReader(nil, rq.http.Body, limit), rq.http.ContentLength, budget)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(outcome.ReasonTooLarge, "body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(outcome.ReasonDeadline, "the body did not arrive before the deadline")
+	case err != nil:
+		return refuse(outcome.ReasonBadRequest, "body: %v", err)
+	}
+	rq.body = body
+	return nil
+}
+
+// contentHash returns a hash of the request's kind, URI and body, of which only the start counts if it
+// is not held as a whole. It is the same when the caller sends the request again.
 func (rq *request) contentHash() uint64 {
 	var d xxhash.Digest
 	d.Reset()
@@ -209,7 +244,11 @@
 	d.WriteString("\x00")
 	d.WriteString(rq.http.URL.RequestURI())
 	d.WriteString("\x00")
-	d.Write(rq.body)
+	held := rq.body.Held()
+	if !rq.body.Whole() {
+		held = held[:reqbody.MinHeld]
+	}
+	d.Write(held)
 	return d.Sum64()
 }
 
@@ -228,7 +267,8 @@
 		Target:      rq.http.URL.RequestURI(),
 		Host:        rq.http.Host,
 		Headers:     dispatch.EndToEnd(rq.http.Header),
-		BodyBytes:   int64(len(rq.body)),
+		BodyBytes:   rq.body.Length(),
+		Streamed:    !rq.body.Whole(),
 		Retry:       retry,
 		Fingerprint: rq.fingerprint,
 		Idempotent:  rq.kind.Idempotent,
--- a/ingress/request_test.go
+++ b/ingress/request_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -32,6 +33,16 @@
 
 const validRequest = "POST /orders?x=1 HTTP/1.1\r\nHost: shop.example\r\nIdempotency-Key: k1\r\nContent-Length: 3\r\n\r\nabc"
 
+// parseWhole parses the head of a request and reads its body.
+func parseWhole(v *board.View, r *http.Request) (*request, error) {
+	in := New(Config{})
+	rq, err := in.parse(v, r, time.Now())
+	if err == nil {
+		err = in.readBody(v, rq, httptest.NewRecorder())
+	}
+	return rq, err
+}
+
 // Guards against invalid requests that crash a node or are run, and against refusals that do not
 // name the invalid field.
 func TestRefusalNamesTheBadField(t *testing.T) {
@@ -63,7 +74,7 @@
 func parseText(t *testing.T, text string) (*request, error) {
 	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 	assert.NilError(t, err)
-	return New(Config{}).parse(testView(), r, time.Now())
+	return parseWhole(testView(), r)
 }
 
 // Guards against a caller's timeout that extends the deadline of the request kind, and against a
@@ -97,14 +108,14 @@
 		if err != nil {
 			return
 		}
-		rq, err := New(Config{}).parse(v, r, time.Now())
+		rq, err := parseWhole(v, r)
 		var refused *refusal
 		if err != nil {
 			assert.Assert(t, errors.As(err, &refused))
 			return
 		}
 		head := rq.head("a", &board.Upstream{}, false, time.Now())
-		assert.Equal(t, head.BodyBytes, int64(len(rq.body)))
+		assert.Equal(t, head.BodyBytes, int64(len(rq.body.Held())))
 		head.URL("127.0.0.1:1")
 	})
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -36,6 +36,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	rq, err := in.parse(v, r, began)
+	if err == nil {
+		err = in.readBody(v, rq, w)
+		defer rq.releaseBody()
+	}
 	if err == nil && !in.withinRate(v, rq.caller) {
 		err = refuse(outcome.ReasonRateLimited, "caller %s is over its rate", rq.caller)
 	}
@@ -159,7 +163,7 @@
 // shouldRetry reports whether another attempt follows one that ended with e. If so, it takes the
 // retry from the budget.
 func (h *requestHandler) shouldRetry(budget *lockedBudget, e outcome.Ended) bool {
-	if h.answer.begun {
+	if h.answer.begun || !h.rq.body.Replayable() {
 		return false
 	}
 	if e.Outcome == outcome.Answered {
--- a/node/new.go
+++ b/node/new.go
@@ -114,8 +114,8 @@
 		Dialer: n.dialer,
 		Record: n.countFinished,
 		Failed: func(began time.Time) { n.dispatcher.RecordFailedRequest(began, time.Now()) },
-		CrossRegion: func(level int, answerBytes int64) bool {
-			return n.crossRegion.allow(n.board.View(), level, answerBytes)
+		CrossRegion: func(level int, bytes int64) bool {
+			return n.crossRegion.allow(n.board.View(), level, bytes)
 		},
 		Claims:         n.groups.client,
 		CallerProtocol: n.options.CallerProtocol,
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -26,6 +26,9 @@
 	FrameAnswerEnd link.FrameType = 6 // AnswerEnd
 	FrameRelay     link.FrameType = 7 // RelayHead; the attempt to relay follows
 	FramePing      link.FrameType = 8 // test of a path; empty, answered with FrameDone
+	// FrameContinue asks for the body of a streamed attempt, which has got a slot of its upstream. It
+	// is empty.
+	FrameContinue link.FrameType = 9
 
 	// Configuration.
 	FrameConfigWatch link.FrameType = 16 // request of package distribute; answered with a series of FrameConfigDelta
@@ -77,7 +80,8 @@
 	Target      string   `cbor:"10,keyasint"` // path and query
 	Host        string   `cbor:"11,keyasint"`
 	Headers     []Header `cbor:"12,keyasint"`
-	BodyBytes   int64    `cbor:"13,keyasint"`
+	// BodyBytes is the length of the body, or -1 if it is not known, which only a streamed attempt has.
+	BodyBytes int64 `cbor:"13,keyasint"`
 	// Retry is set if an earlier attempt has used an upstream's capacity or was refused for lack of
 	// it. Retries do not displace first attempts.
 	Retry bool `cbor:"14,keyasint,omitempty"`
@@ -101,6 +105,9 @@
 	// LastRun is set if no other run is allowed after this one, even if it fails: the request is not
 	// idempotent, has reached its maximum number of runs, or the retry budget is used up.
 	LastRun bool `cbor:"21,keyasint,omitempty"`
+	// Streamed is set if the body is too large to be held. It is sent after FrameContinue, and passed
+	// on to the upstream as it arrives.
+	Streamed bool `cbor:"22,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
