Keep an upstream withdrawn that left after a restart of its node

Cause: a node that restarted does not know its upstreams. A withdrawal without a start time then recorded start 0, and a delayed announcement of the upstream that had left counted as a later incarnation: the upstream was in use again. Change: without a known incarnation, such a withdrawal covers all that have started by now. With a known one it covers that one, as before, so a clock that is set back does not keep a restarted upstream out. Ruled out: persisting announcements, for which nodes have no disk. Test: TestWithdrawalAfterRestartHolds fails without the change for start 0.

--- a/announce/order.go
+++ b/announce/order.go
@@ -16,7 +16,8 @@
 type IncarnationSink interface {
 	Announce(Announcement)
 	// Withdraw reports that an upstream is gone. startMs is as in Announcement; 0
-	// stands for the latest known incarnation.
+	// stands for the latest known incarnation, or for all that have started by now if
+	// none is known.
 	Withdraw(id fleet.UpstreamID, startMs int64)
 }
 
@@ -115,6 +116,12 @@
 		o.log.Info("withdrawal of an earlier incarnation dropped", "upstream", id, "born", startMs)
 		return
 	}
+	if startMs == 0 && inc.StartMs == 0 {
+		// This process may have restarted after the upstream had announced itself, and a delayed
+		// announcement may be on its way. Every incarnation that has started by now is gone.
+		startMs = time.Now().UnixMilli()
+	}
+	inc.StartMs = max(inc.StartMs, startMs)
 	inc.withdrawn, inc.lastHeard = true, time.Now()
 	o.next.Withdraw(id)
 }
--- a/announce/order_test.go
+++ b/announce/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -58,3 +59,17 @@
 	assert.Equal(t, len(r.calls), 3)
 	assert.Equal(t, o.known["a"].warmMs, int64(300))
 }
+
+// Guards against an upstream that has left and is in use again after a restart of the node: the node does
+// not know the upstream any more when it is withdrawn, and a delayed announcement arrives afterwards.
+func TestWithdrawalAfterRestartHolds(t *testing.T) {
+	for _, startMs := range []int64{0, 1000} {
+		r := &sinkRecorder{}
+		o := NewOrdered(r, logging.Discard())
+		o.Withdraw("a", startMs)
+		o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7})
+		assert.DeepEqual(t, r.calls, []string{"-a"})
+		o.Announce(Announcement{ID: "a", Addr: "x", StartMs: time.Now().UnixMilli() + 1, Sequence: 1})
+		assert.DeepEqual(t, r.calls, []string{"-a", "a"})
+	}
+}
