Wait for acknowledged attempts and relays in a planned stop

Cause: the dispatcher counted an attempt as active only once its whole body had been read. A stop between the acknowledgement and that point closed the links: the ingress of a non-idempotent request, which sends the body after the acknowledgement, had to answer 502. Relayed attempts were never counted. Change: an exchange counts from its first frame. Relays are refused once the dispatcher leaves, so the ingress takes another route. Ruled out: refusing at the acknowledgement alone, which leaves the gap. Test: TestLeaveWaitsForAcknowledgedAttempts fails without the count.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,17 +182,24 @@
 	}
 }
 
-// beginAttempt looks up the upstream of an attempt and counts the attempt as active until end is
-// called. u is nil if no such upstream is registered here.
-func (d *Dispatcher) beginAttempt(id fleet.UpstreamID) (u *upstream, leaving bool, end func()) {
+// lookUp returns the upstream of an attempt, or nil if no such upstream is registered here.
+func (d *Dispatcher) lookUp(id fleet.UpstreamID) (u *upstream, leaving bool) {
 	d.refreshRanks()
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.upstreams[id], d.leaving
+}
+
+// beginExchange counts an exchange with another node as active until end is called, so that Leave waits
+// for it from its first frame on. ok is false if the dispatcher is leaving; it is then not counted.
+func (d *Dispatcher) beginExchange() (end func(), ok bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	if d.leaving {
-		return nil, true, func() {}
+		return func() {}, false
 	}
 	d.active.Add(1)
-	return d.upstreams[id], false, d.active.Done
+	return d.active.Done, true
 }
 
 // Metrics returns the dispatcher's counters for expvar.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -282,3 +282,35 @@
 	_, end := finish(t, begin(t, f, head))
 	assert.Equal(t, end.Outcome, outcome.Unknown, "%+v", end)
 }
+
+// Guards against a planned stop that cuts off an attempt which was acknowledged, and whose body is still
+// on its way: its ingress could not tell whether it has run.
+func TestLeaveWaitsForAcknowledgedAttempts(t *testing.T) {
+	f := newFixture(t, nil, answerOK)
+	s := begin(t, f, orderHead("a"))
+	left := make(chan error, 1)
+	go func() { left <- f.Leave(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, leaving := f.lookUp("u"); !leaving {
+			return poll.Continue("the dispatcher is not leaving yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	select {
+	case <-left:
+		t.Fatal("the dispatcher left before the attempt had ended")
+	case <-time.After(50 * time.Millisecond):
+	}
+	_, end := finish(t, s)
+	assert.Equal(t, end.Outcome, outcome.NotRun)
+	select {
+	case err := <-left:
+		assert.NilError(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the dispatcher did not leave")
+	}
+	late := f.open()
+	assert.NilError(t, wire.Write(late, wire.FrameAttempt, orderHead("b")))
+	_, end = readAnswer(t, late)
+	assert.Equal(t, end.Reason, outcome.ReasonDraining)
+}
--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -21,6 +21,12 @@
 		s.Reset()
 		return
 	}
+	endExchange, ok := d.beginExchange()
+	defer endExchange()
+	if !ok {
+		s.Reset()
+		return
+	}
 	d.stats.relayed.Add(1)
 	dialCtx, cancel := context.WithTimeout(ctx, relayDialTimeout)
 	defer cancel()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -27,8 +27,7 @@
 // to w.
 func (d *Dispatcher) run(a *attempt, head *wire.AttemptHead, body *requestBody, w *answerWriter) wire.AnswerEnd {
 	c := a.claim
-	u, leaving, done := d.beginAttempt(fleet.UpstreamID(head.Upstream))
-	defer done()
+	u, leaving := d.lookUp(fleet.UpstreamID(head.Upstream))
 	switch {
 	case leaving:
 		c.abandon()
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -20,6 +20,9 @@
 		s.Reset()
 		return
 	}
+	// While the dispatcher is leaving, the attempt is declined.
+	endExchange, _ := d.beginExchange()
+	defer endExchange()
 	deadline := time.Now().Add(head.Remaining())
 	otherIncarnation := head.Incarnation != 0 && head.Incarnation != d.incarnation
 	ack := wire.Ack{Incarnation: d.incarnation}
