Keep the caller's connection usable after a streamed upload

Cause: an answer that arrived before the sender of the body had returned from its last write made the ingress set an expired read deadline, although the body had been read. net/http then cancels all later requests of that connection: the next one got 503 not-run (canceled). Change: the deadline is set only if the end of the body has not been read, and the answer then closes the connection. Ruled out: the links and the dispatcher, whose outcomes reach the caller under other reasons than 'canceled'.

--- a/ingress/upload.go
+++ b/ingress/upload.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 	done    chan struct{} // closed when sending has ended; nil: it has not begun
 	// stopping is set when the body is not needed any more.
 	stopping atomic.Bool
+
+	mu       sync.Mutex
+	bodyRead bool // the end of the body has been read
 }
 
 // start begins to send the body. The dispatcher asks for it once.
@@ -54,8 +58,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			// The server goes on reading, to notice when the caller leaves.
-			u.attempt.rq.conn.SetReadDeadline(time.Time{})
+			u.finishReading()
 			return u.stream.WriteFrame(wire.FrameEnd, nil)
 		case err != nil && !u.stopping.Load():
 			u.attempt.bodyFault = &bodyFault{err}
@@ -77,12 +80,32 @@
 	case <-u.done:
 	default:
 		u.stopping.Store(true)
-		u.attempt.rq.conn.SetReadDeadline(time.Now())
+		u.abortReading()
 		u.stream.Reset()
 		<-u.done
 	}
 }
 
+// finishReading removes the deadline of the body: the server goes on reading, to notice when the caller
+// leaves.
+func (u *upload) finishReading() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.bodyRead = true
+	u.attempt.rq.conn.SetReadDeadline(time.Time{})
+}
+
+// abortReading ends the reading of the body, unless its end has been read. The server cancels all later
+// requests of a connection on which a read fails, so the connection is not used again.
+func (u *upload) abortReading() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.bodyRead {
+		u.attempt.answer.w.Header().Set("Connection", "close")
+		u.attempt.rq.conn.SetReadDeadline(time.Now())
+	}
+}
+
 // bodyFault says why the body of a request could not be read to its end.
 type bodyFault struct{ err error }
 
