Log how a node gets each version of the configuration

The logs could not tell whether a late node had learned late of a version or had pulled in vain. A node now logs each version it applies with its source, the time since it learned that it was behind and the pulls that failed meanwhile, and each failed pull with the time that it took.

--- a/distribute/feeder.go
+++ b/distribute/feeder.go
@@ -150,23 +150,23 @@
 	if err := writeWithTimeout(s, wire.FrameConfigWatch, request{Since: f.holder.Version()}, f.cfg.FrameTimeout); err != nil {
 		return false, fmt.Errorf("distribute: watch %s: %w", addr, err)
 	}
-	err = f.receiveDeltas(s, func() { answered = true; f.connected.Store(true) })
+	err = f.receiveDeltas(s, addr, func() { answered = true; f.connected.Store(true) })
 	if !errors.Is(err, errControlBehind) {
 		f.controlDialer.Replace(addr)
 	}
 	return answered, fmt.Errorf("distribute: watch %s: %w", addr, err)
 }
 
-// receiveDeltas applies the deltas that arrive on a watch. onMessage is called for each delta or
-// heartbeat of a control replica that is not behind.
-func (f *Follower) receiveDeltas(s link.Stream, onMessage func()) error {
+// receiveDeltas applies the deltas that arrive on a watch of the control replica at addr. onMessage is
+// called for each delta or heartbeat of a replica that is not behind.
+func (f *Follower) receiveDeltas(s link.Stream, addr string, onMessage func()) error {
 	var behindSince time.Time
 	for {
 		d, version, err := readDelta(s, f.cfg.FrameTimeout)
 		if err != nil {
 			return err
 		}
-		if err := f.applyFromControl(d); err != nil {
+		if err := f.applyFromControl(d, addr); err != nil {
 			return err
 		}
 		if !version.Less(f.holder.Version()) {
@@ -184,12 +184,12 @@
 }
 
 // applyFromControl applies a delta that arrived on a watch. d may be nil.
-func (f *Follower) applyFromControl(d *resource.Delta) error {
+func (f *Follower) applyFromControl(d *resource.Delta, addr string) error {
 	if d == nil {
 		return nil
 	}
 	before := f.holder.Version()
-	err := f.apply(d)
+	err := f.apply(d, addr)
 	if err == nil && before.Less(f.holder.Version()) {
 		f.stats.appliedFromControl.Add(1)
 	}
--- a/distribute/follower.go
+++ b/distribute/follower.go
@@ -46,6 +46,7 @@
 	// connected says that a control replica that is not behind answers a watch of this node.
 	connected atomic.Bool
 	stats     followerCounters
+	lag       lag
 }
 
 type followerCounters struct {
@@ -107,6 +108,7 @@
 func (f *Follower) memberChanged(n fleet.Node) {
 	f.peers.update(n)
 	if f.holder.Version().Less(n.ConfigVersion) {
+		f.lag.learned(time.Now())
 		f.wakeUp()
 	}
 }
@@ -118,8 +120,9 @@
 	}
 }
 
-// apply applies a delta. A stale one is not an error: the same change can arrive on two paths.
-func (f *Follower) apply(d *resource.Delta) error {
+// apply applies a delta from source, a node or a control address. A stale one is not an error: the
+// same change can arrive on two paths.
+func (f *Follower) apply(d *resource.Delta, source string) error {
 	if d == nil {
 		return nil
 	}
@@ -129,6 +132,8 @@
 	}
 	if err == nil {
 		f.stats.applied.Add(1)
+		v := f.holder.Version()
+		f.lag.applied(f.log, time.Now(), v, source, !v.Less(f.peers.newestVersion()))
 	}
 	return err
 }
@@ -176,7 +181,7 @@
 	addr := addrs[rand.IntN(len(addrs))]
 	reply, err := pull(ctx, f.controlDialer, addr, request{Since: f.holder.Version()}, f.cfg.FrameTimeout)
 	if err == nil {
-		err = f.apply(reply.delta)
+		err = f.apply(reply.delta, addr)
 	}
 	if err != nil {
 		f.log.Debug("failed to pull from control", "addr", addr, "err", err)
@@ -245,13 +250,15 @@
 		}
 	}
 	f.stats.pulls.Add(1)
+	start := time.Now()
 	reply, err := pull(ctx, f.nodeDialer, p.addr, request{Since: since}, f.cfg.FrameTimeout)
 	if err == nil {
-		err = f.apply(reply.delta)
+		err = f.apply(reply.delta, string(p.id))
 	}
 	if err != nil {
 		f.stats.pullsFailed.Add(1)
-		f.log.Debug("pull failed", "node", p.id, "err", err)
+		f.lag.pullFailed()
+		f.log.Info("pull failed", "node", p.id, "version", p.configVersion.String(), "ms", time.Since(start).Milliseconds(), "fault", err)
 		f.peers.recordFailure(p.id, time.Now().Add(f.cfg.BackoffMax))
 		return since.Less(f.holder.Version())
 	}
