Show that silent peers delay a change at nodes that reach control

The test cuts a share of the paths between nodes and leaves those to control alone. Ruled out: lost news, and control that lags.

--- /dev/null
+++ b/distribute/lastnode_test.go
@@ -0,0 +1,50 @@
+package distribute
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lastNodeBound is half of the time in which an acknowledged change must be in force at each node that
+// reaches control.
+const lastNodeBound = 2500 * time.Millisecond / 2
+
+// cutPairs returns a cut of the given share of the directed paths between nodes. Paths to and from
+// control work.
+func cutPairs(r *rand.Rand, nodes int, share float64) func(from, to string) bool {
+	cut := map[string]bool{}
+	for i := range nodes {
+		for j := range nodes {
+			cut[nodeAddr(i)+" "+nodeAddr(j)] = r.Float64() < share
+		}
+	}
+	return func(from, to string) bool { return cut[from+" "+to] }
+}
+
+// Guards against a change that reaches a node late because the peers that it pulls from are silent.
+func TestChangeIsInForceWhilePathsBetweenNodesAreCut(t *testing.T) {
+	const seeds = 40
+	for _, share := range []float64{0.1, 0.3, 0.5} {
+		worst := time.Duration(0)
+		for seed := range uint64(seeds) {
+			synctest.Test(t, func(t *testing.T) {
+				net, control, source, nodes := newFleet(t, 25, 2)
+				defer net.stop()
+				net.setCut(cutPairs(rand.New(rand.NewPCG(seed, 1)), len(nodes), share))
+				for range 4 {
+					v := applyChange(t, control, source)
+					took := waitForVersion(t, time.Minute, v, nodes...)
+					worst = max(worst, took)
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+		}
+		t.Logf("%.0f%% of the paths cut: the last node had a change after %v at most", 100*share, worst)
+		assert.Check(t, worst <= lastNodeBound, fmt.Sprintf("%.0f%% of the paths cut: last node after %v", 100*share, worst))
+	}
+}
