Pull a configuration from another source when one does not answer

Callers were refused with 404 although the route had been confirmed more than 2.5 s before: a node that learns of a version pulled it from one random peer and waited 1.5 s for it. Two silent peers in a row are past the bound, while control and most peers could be reached.

A pull that brings nothing within 250 ms is now joined by another one: two peers, then control, then any other peer.

--- a/distribute/config.go
+++ b/distribute/config.go
@@ -16,6 +16,11 @@
 	// frame. Default 1.5 s. It must exceed Heartbeat; a longer one delays the switch to another peer
 	// when one is silent.
 	FrameTimeout time.Duration
+	// HedgeDelay is how long a node waits for the reply to a pull before it pulls from another source
+	// as well. Default 250 ms, twice what a pull over a new connection takes between regions 30 ms
+	// apart. A longer one makes nodes late whose paths to some peers are cut; a shorter one makes them
+	// pull twice when a peer is busy.
+	HedgeDelay time.Duration
 	// PullJitter bounds the random delay before a pull. Default 20 ms. A longer one spreads pulls over
 	// more peers, and delays each hop of a change.
 	PullJitter time.Duration
@@ -64,6 +69,7 @@
 	}
 	setDefault(&c.Heartbeat, 500*time.Millisecond)
 	setDefault(&c.FrameTimeout, 1500*time.Millisecond)
+	setDefault(&c.HedgeDelay, 250*time.Millisecond)
 	setDefault(&c.PullJitter, 20*time.Millisecond)
 	setDefault(&c.RemoteDelay, 400*time.Millisecond)
 	setDefault(&c.BackoffMin, 50*time.Millisecond)
--- a/distribute/follower.go
+++ b/distribute/follower.go
@@ -239,53 +239,6 @@
 	return true
 }
 
-// pullOnce pulls from a peer that has a newer version and reports whether this node's version has
-// increased.
-func (f *Follower) pullOnce(ctx context.Context) bool {
-	since := f.holder.Version()
-	p, ok := f.peers.pickSource(time.Now(), since, false)
-	if !ok {
-		if p, ok = f.remoteSource(ctx, since); !ok {
-			return since.Less(f.holder.Version())
-		}
-	}
-	f.stats.pulls.Add(1)
-	start := time.Now()
-	reply, err := pull(ctx, f.nodeDialer, p.addr, request{Since: since}, f.cfg.FrameTimeout)
-	if err == nil {
-		err = f.apply(reply.delta, string(p.id))
-	}
-	if err != nil {
-		f.stats.pullsFailed.Add(1)
-		f.lag.pullFailed()
-		f.log.Info("pull failed", "node", p.id, "version", p.configVersion.String(), "ms", time.Since(start).Milliseconds(), "fault", err)
-		f.peers.recordFailure(p.id, time.Now().Add(f.cfg.BackoffMax))
-		return since.Less(f.holder.Version())
-	}
-	f.peers.recordVersion(p, reply.version)
-	return since.Less(f.holder.Version())
-}
-
-// remoteSource returns a peer of another region, after this region has had time to get the new version
-// by itself. If a peer of this region gets it in the meantime, that peer is returned.
-func (f *Follower) remoteSource(ctx context.Context, since resource.Version) (peer, bool) {
-	if _, ok := f.peers.pickSource(time.Now(), since, true); !ok {
-		return peer{}, false
-	}
-	// Between 0.5 and 1.5 times the delay, so that one node pulls first and serves the others.
-	end := time.Now().Add(f.cfg.RemoteDelay/2 + rand.N(f.cfg.RemoteDelay))
-	for remaining := time.Until(end); remaining > 0; remaining = time.Until(end) {
-		if !f.waitForUpdate(ctx, remaining) || since.Less(f.holder.Version()) {
-			return peer{}, false
-		}
-		if p, ok := f.peers.pickSource(time.Now(), since, false); ok {
-			return p, true
-		}
-	}
-	f.stats.remotePulls.Add(1)
-	return f.peers.pickSource(time.Now(), since, true)
-}
-
 // sleep waits for d. It returns false if ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/distribute/peers.go
+++ b/distribute/peers.go
@@ -113,14 +113,21 @@
 	return v
 }
 
-// pickSource returns a random usable peer that holds a version above v, from this node's region or, if
-// remote is true, from any region. ok is false if there is none.
-func (p *peers) pickSource(now time.Time, v resource.Version, remote bool) (chosen peer, ok bool) {
+// pickSource returns a random usable peer that holds a version above v and whose address is not in
+// asked, from this node's region or, if remote is true, from any region. Peers that membership
+// considers alive are preferred. ok is false if there is none.
+func (p *peers) pickSource(now time.Time, v resource.Version, remote bool, asked map[string]bool) (chosen peer, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := 0
+	candidates, alive := 0, false
 	for _, q := range p.byID {
-		if !v.Less(q.configVersion) || !q.usable(now) || !remote && q.region != p.self.Region {
+		if !v.Less(q.configVersion) || !q.usable(now) || asked[q.addr] || !remote && q.region != p.self.Region {
+			continue
+		}
+		if q.state == fleet.NodeAlive && !alive {
+			alive, candidates = true, 0
+		}
+		if alive && q.state != fleet.NodeAlive {
 			continue
 		}
 		// Reservoir sampling: each candidate so far is chosen with the same probability.
