Ignore listeners that are closed already in a stop of control

A stop of a control process sometimes ended with an error, "use of closed network connection": the API listener is closed before its server, and the server closes it a second time unless its accept loop has ended by then. In the tests such an error made the cleanup stop the same member again, which waited forever.

--- a/controld/controld.go
+++ b/controld/controld.go
@@ -287,7 +287,7 @@
 		errs = append(errs, d.listener.Close())
 	}
 	if d.api != nil {
-		errs = append(errs, d.api.Close())
+		errs = append(errs, ignoreClosed(d.api.Close()))
 	}
 	if d.apiLn != nil {
 		d.apiLn.Close()
@@ -304,8 +304,9 @@
 	return errors.Join(errs...)
 }
 
+// ignoreClosed returns err, or nil if it says only that a server or its listener is closed already.
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/controld/group_test.go
+++ b/controld/group_test.go
@@ -98,8 +98,10 @@
 }
 
 func (g *testGroup) stop(id string) {
-	g.stopFuncs[id]()
+	stop := g.stopFuncs[id]
+	// A failure in stop runs the cleanup, which stops what is left.
 	delete(g.stopFuncs, id)
+	stop()
 }
 
 func (g *testGroup) client(ids ...string) *client.Client {
