Let a learner that is asked for its vote campaign

A control group could be left without a leader although a quorum of each membership was running. A leader had stored a promotion only by itself; the next leader had sent later entries only to the learner, which did not know of its promotion, and then lost its disk. The first one needs the learner's vote, the learner refuses it since its own log is newer, and did not request votes itself, since it was no voter in its log.

A learner now requests votes once another replica has asked it for one. Its own vote still does not count, and votes still go to logs that are at least as new only.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -91,6 +91,8 @@
 	electionTimeout int       // randomized election timeout in ticks
 
 	votes map[ReplicaID]bool // replies in the current (pre-)election: true if granted
+	// askedForVote is set while no leader is known and another replica counts this one as a voter.
+	askedForVote bool
 
 	// Fields used only while leader.
 	peers            map[ReplicaID]*tracker.Progress
@@ -247,6 +249,9 @@
 		c.hardState = HardState{Term: term}
 	}
 	c.role, c.leader = Follower, leader
+	if leader != 0 {
+		c.askedForVote = false
+	}
 	c.peers, c.votes = nil, nil
 	c.pendingBytes = 0
 	c.reads = reads{}
--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -236,3 +236,35 @@
 	assert.DeepEqual(t, learner.machine, l.machine)
 	assert.ErrorIs(t, s.proposeChange(l, MemberChange{Kind: Promote, ID: learner.id}), ErrNoChange)
 }
+
+// Guards against a group without a leader although a quorum runs: the last log belongs to a learner that
+// does not know of its promotion, and a voter that knows of it needs the learner's vote.
+func TestPromotedLearnerWithLastLogIsElected(t *testing.T) {
+	s, promoter := newSimWithLeader(t, Config{Seed: 2}, 3)
+	learner := s.addBlank()
+	assert.NilError(t, s.proposeChange(promoter, MemberChange{Kind: AddLearner, ID: learner.id}))
+	s.run(5)
+	s.isolate(promoter.id, true, true)
+	assert.NilError(t, s.proposeChange(promoter, MemberChange{Kind: Promote, ID: learner.id}))
+	otherLeader := func() bool { return s.leader() != nil && s.leader() != promoter }
+	for ticks := 0; ticks < 100 && !otherLeader(); ticks++ {
+		s.tick()
+		for len(s.inFlight) > 0 && !otherLeader() {
+			s.deliver(0, noCrash)
+		}
+	}
+	assert.Assert(t, otherLeader(), "no second leader")
+	second := s.leader()
+	for _, n := range s.running() {
+		s.cutPaths[[2]ReplicaID{second.id, n.id}] = n != learner
+	}
+	s.deliverAll()
+	assert.Equal(t, learner.core.log.lastIndex(), second.core.log.lastIndex())
+	second.crash()
+	s.nodes[second.id] = nil
+	clear(s.cutPaths)
+	assert.Assert(t, !learner.core.Membership().IsVoter(learner.id))
+	assert.Assert(t, promoter.core.Membership().IsVoter(learner.id))
+	elected := func() bool { l := s.leader(); return l != nil && l.term > second.term && l.core.committedInCurrentTerm() }
+	assert.Assert(t, s.runUntil(200, elected) >= 0, "no leader")
+}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -20,8 +20,11 @@
 // mayCampaign reports whether this replica is a voter, or was one in a membership that may still be
 // the last committed one. A replica whose removal is in its log but not known to be committed
 // campaigns as well, without counting its own vote: its log may be the only one that is complete
-// enough to win a quorum.
+// enough to win a quorum. The same holds for a learner that is a voter in the log of another replica.
 func (c *Core) mayCampaign() bool {
+	if c.askedForVote && c.log.lastIndex() > 0 {
+		return true
+	}
 	for _, m := range c.log.membershipsSince(c.log.commit) {
 		if m.membership.IsVoter(c.cfg.ID) {
 			return true
@@ -56,6 +59,7 @@
 	if c.inLease() {
 		return
 	}
+	c.askedForVote = true
 	if m.Term == c.hardState.Term || !c.mayVoteFor(m) || c.hasPriorityOver(m) {
 		c.send(Message{Type: MsgPreVoteReply, To: m.From, Reject: true})
 		return
@@ -76,6 +80,7 @@
 }
 
 func (c *Core) stepVote(m Message) {
+	c.askedForVote = true
 	voteAvailable := c.hardState.Vote == m.From || c.hardState.Vote == 0 && c.leader == 0
 	if !voteAvailable || !c.mayVoteFor(m) {
 		c.send(Message{Type: MsgVoteReply, To: m.From, Reject: true})
