Demote silent voters beyond five instead of removing them late

Callers got 404 for routes that had been acknowledged more than 2.5 s before, or an operator could not read the configuration back: control had no leader. A planned replacement had added a sixth voter, the old one had stopped, and two disks were lost: three of six voters elect nobody. The old one would have lost its vote after 10 s of silence, measured anew by each leader.

A silent voter beyond five becomes a learner 0.5 s after an election timeout. It keeps its log and gets its vote back when it returns, so that the change can be quick. A newcomer takes the vote of the voter that has been silent longest, which is demoted too; before, it was removed and could not return.

TestTwoDisksLostAfterPlannedReplacement fails without the change (no leader). Ruled out: a removal that was tried and failed; the log has no attempt before the disks are lost.

TestSilentVoterIsPruned became TestSilentSurplusVoterIsDemoted with the new bounds and the same cases.

--- a/consensus/doc.go
+++ b/consensus/doc.go
@@ -21,7 +21,8 @@
 // them. Among replicas with equal logs that request pre-votes at the same time, the one with the
 // highest id has priority. A voter that has heard from a leader within the last election timeout
 // ignores requests for votes and pre-votes, so a replica that returns from isolation neither raises
-// the term nor deposes the leader. A replica whose log is empty grants no votes.
+// the term nor deposes the leader. A replica whose log is empty grants no votes. A learner that is asked
+// for its vote requests votes itself: it may hold the last log.
 //
 // A leader that has not heard from a quorum within an election timeout steps down. The caller must
 // then fail the pending reads and proposals: the reads have not been served, and the proposals may
@@ -47,7 +48,8 @@
 // effect as soon as it is in the log, before it is committed. A leader accepts a change only when
 // the previous change and an entry of the leader's own term are committed. Without the second
 // condition, two leaders in different terms could each commit through quorums that do not overlap.
-// A learner is promoted only when it has caught up, unless the change sets BeforeCatchUp.
+// A learner is promoted only when it has caught up, unless the change sets BeforeCatchUp. A demoted
+// voter stays in the group as a learner and can be promoted again.
 //
 // # Snapshots
 //
--- a/consensus/faults_test.go
+++ b/consensus/faults_test.go
@@ -230,6 +230,8 @@
 		c.proposeChange(l, MemberChange{Kind: Promote, ID: m.ID, BeforeCatchUp: r.IntN(2) == 0})
 	case c.nodes[m.ID] == nil || ms.VoterCount() > 3 && r.IntN(3) == 0:
 		c.proposeChange(l, MemberChange{Kind: Remove, ID: m.ID})
+	case ms.VoterCount() > 3 && r.IntN(3) == 0:
+		c.proposeChange(l, MemberChange{Kind: Demote, ID: m.ID})
 	case r.IntN(8) == 0:
 		c.proposeChange(l, MemberChange{Kind: SetAddr, ID: m.ID, Addr: fmt.Sprint(c.now())})
 	case len(c.ids) < 12 && r.IntN(4) == 0:
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -214,11 +214,12 @@
 	Promote                          // turn a learner that has caught up into a voter
 	Remove                           // remove a voter or a learner
 	SetAddr                          // change the address of a member
+	Demote                           // turn a voter into a learner
 )
 
 // String returns the kind as it appears in logs.
 func (k ChangeKind) String() string {
-	return [...]string{"none", "add-learner", "promote", "remove", "set-addr"}[min(k, SetAddr)]
+	return [...]string{"none", "add-learner", "promote", "remove", "set-addr", "demote"}[min(k, Demote)]
 }
 
 // MemberChange is a change to a single member.
@@ -260,17 +261,19 @@
 		return out, nil
 	case i < 0:
 		return nil, fmt.Errorf("%w: %s is not a member", ErrBadChange, c.ID)
-	case c.Kind == Remove && ms[i].Voter && ms.VoterCount() == 1:
+	case (c.Kind == Remove || c.Kind == Demote) && ms[i].Voter && ms.VoterCount() == 1:
 		return nil, fmt.Errorf("%w: %s is the last voter", ErrBadChange, c.ID)
 	case c.Kind == Remove:
 		return slices.Delete(slices.Clone(ms), i, i+1), nil
-	case c.Kind == Promote && ms[i].Voter, c.Kind == SetAddr && ms[i].Addr == c.Addr:
+	case c.Kind == Promote && ms[i].Voter, c.Kind == Demote && !ms[i].Voter, c.Kind == SetAddr && ms[i].Addr == c.Addr:
 		return nil, ErrNoChange
 	}
 	out := slices.Clone(ms)
 	switch c.Kind {
 	case Promote:
 		out[i].Voter = true
+	case Demote:
+		out[i].Voter = false
 	case SetAddr:
 		out[i].Addr = c.Addr
 	default:
--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/godwithub/godwithub/consensus"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/wire"
@@ -18,16 +17,10 @@
 	// joinInterval is the time between join requests of a replica that is not a voter.
 	joinInterval = 250 * time.Millisecond
 	// joinTimeout bounds one join request, in which the leader adds the replica, waits until it has
-	// caught up, and promotes it. It also bounds the removal of a silent voter.
+	// caught up, and promotes it. It also bounds a change for a silent member.
 	joinTimeout = 5 * time.Second
-	// targetVoters is the number of voters of a self-repairing group. Five voters tolerate the loss
-	// of two disks.
-	targetVoters = 5
-	// pruneInterval is the time between checks for voters to remove. pruneAfter is how long a voter
-	// has to be silent before it is removed. A planned replacement adds the new voter first and the
-	// old one then stops without asking to be removed, so the surplus voter has to be found here.
-	pruneInterval = time.Second
-	pruneAfter    = 10 * time.Second
+	// silenceCheckInterval is the time between checks for silent members.
+	silenceCheckInterval = 250 * time.Millisecond
 )
 
 // joinReply answers a join request.
@@ -42,10 +35,11 @@
 }
 
 // joiner asks the group to add this member while it is not a voter. While this member leads, it
-// adds other members on request and removes surplus voters that are silent.
+// adds other members on request and takes the votes of surplus voters that are silent.
 type joiner struct {
 	*Group
-	log *slog.Logger
+	log    *slog.Logger
+	silent silentMembers
 	// candidateAddrs returns the link addresses of processes that may be members.
 	candidateAddrs func() []string
 }
@@ -134,86 +128,37 @@
 	} else if leader != j.store.ID() {
 		return joinReply{Leader: parseAddress(addr).linkAddr}
 	}
-	replaced := memberToReplace(m.ID, r.Status().Membership, r.Status().Heard, j.store.ID())
+	status := r.Status()
+	replaced := memberToReplace(m.ID, status.Membership, j.silent.update(status, time.Now()))
 	j.log.Info("member joins", "member", m.ID, "replaces", replaced)
-	if err := j.ReplaceMember(ctx, replaced, m); err != nil {
+	// The replaced voter may only be cut off, so it stays a member.
+	err := j.changeMembers(ctx, func(c *memberChange) error { return c.put(replaced, m, c.demoteReplicas) })
+	if err != nil {
 		j.log.Warn("member not added to the group", "member", m.ID, "fault", err)
 		return joinReply{Fault: err.Error()}
 	}
 	return joinReply{Done: true}
 }
 
-// memberToReplace returns the id of the member that a joining member replaces: a silent voter if the
-// group has targetVoters voters and the joining id is not a member, and the joining id itself
-// otherwise.
-func memberToReplace(id string, members consensus.Membership, heard map[consensus.ReplicaID]bool, self consensus.ReplicaID) string {
-	voters, silent := 0, ""
-	for _, m := range members {
-		a := parseAddress(m.Addr)
-		if a.id == id {
-			return id
-		}
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if m.ID != self && !heard[m.ID] {
-			silent = a.id
-		}
-	}
-	if voters >= targetVoters && silent != "" {
-		return silent
-	}
-	return id
-}
-
-// prune removes voters beyond targetVoters that have been silent for pruneAfter, while this member
-// leads.
-func (j *joiner) prune(ctx context.Context) {
-	silentSince := map[consensus.ReplicaID]time.Time{}
-	for sleep(ctx, pruneInterval) {
+// watchSilence changes the membership when members are silent, while this member leads.
+func (j *joiner) watchSilence(ctx context.Context) {
+	for sleep(ctx, silenceCheckInterval) {
 		r := j.replica.Load()
 		if r == nil {
 			continue
 		}
 		if leader, _, ok := r.Leader(); !ok || leader != j.store.ID() {
-			clear(silentSince)
+			j.silent.clear()
 			continue
 		}
-		id, ok := voterToPrune(silentSince, r.Status().Membership, r.Status().Heard, j.store.ID(), time.Now())
+		status, now := r.Status(), time.Now()
+		change, ok := changeForSilence(status.Membership, j.silent.update(status, now), now)
 		if !ok {
 			continue
 		}
-		removeCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		err := j.changeMembers(removeCtx, func(c *memberChange) error {
-			return c.change(consensus.MemberChange{Kind: consensus.Remove, ID: id})
-		})
+		changeCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+		err := j.changeMembers(changeCtx, func(c *memberChange) error { return c.change(change) })
 		cancel()
-		j.log.Info("removal of silent voter finished", "replica", id.String(), "fault", err)
-	}
-}
-
-// voterToPrune updates silentSince, which holds since when each silent voter has not been heard. If
-// the group has more than targetVoters voters, it returns the one that has been silent longest,
-// provided that this is at least pruneAfter.
-func voterToPrune(silentSince map[consensus.ReplicaID]time.Time, members consensus.Membership, heard map[consensus.ReplicaID]bool, self consensus.ReplicaID, now time.Time) (consensus.ReplicaID, bool) {
-	voters := 0
-	var longest consensus.ReplicaID
-	for _, m := range members {
-		if !m.Voter {
-			continue
-		}
-		voters++
-		if m.ID == self || heard[m.ID] {
-			delete(silentSince, m.ID)
-			continue
-		}
-		if silentSince[m.ID].IsZero() {
-			silentSince[m.ID] = now
-		}
-		if now.Sub(silentSince[m.ID]) >= pruneAfter && (longest == 0 || silentSince[m.ID].Before(silentSince[longest])) {
-			longest = m.ID
-		}
+		j.log.Info("change for a silent member finished", "change", change.Kind.String(), "replica", change.ID.String(), "fault", err)
 	}
-	return longest, voters > targetVoters && longest != 0
 }
--- a/controld/group_test.go
+++ b/controld/group_test.go
@@ -31,6 +31,8 @@
 	token     string
 	addrs     map[string]address
 	stopFuncs map[string]func()
+	// selfRepair makes members join the group and repair it by themselves.
+	selfRepair bool
 }
 
 func newTestGroup(t *testing.T, ids ...string) *testGroup {
@@ -84,6 +86,10 @@
 		settings.Founders = append(settings.Founders, f+"="+b.linkAddr+"/"+b.apiAddr)
 	}
 	settings.Join = len(founders) == 0
+	settings.SelfRepair = g.selfRepair
+	for _, b := range g.addrs {
+		settings.Seeds = append(settings.Seeds, b.linkAddr)
+	}
 	assert.NilError(g.t, settings.Check())
 	d, err := New(settings, logging.Discard(), Options{Replicate: Replicate})
 	assert.NilError(g.t, err)
--- a/controld/members.go
+++ b/controld/members.go
@@ -63,7 +63,7 @@
 
 // ReplaceMember implements server.MemberChanger.
 func (g *Group) ReplaceMember(ctx context.Context, id string, m control.Member) error {
-	return g.changeMembers(ctx, func(c *memberChange) error { return c.put(id, m) })
+	return g.changeMembers(ctx, func(c *memberChange) error { return c.put(id, m, c.removeReplicas) })
 }
 
 // RemoveMember implements server.MemberChanger.
@@ -71,9 +71,15 @@
 	return g.changeMembers(ctx, func(c *memberChange) error { return c.removeReplicas(id, 0) })
 }
 
-// put adds the replica of m to the group and removes the replicas that it replaces: those under the
-// node id replaced, and older ones under its own node id.
-func (c *memberChange) put(replaced string, m control.Member) error {
+// retireFunc takes the vote of all replicas under a node id except one.
+type retireFunc func(id string, except consensus.ReplicaID) error
+
+// put adds the replica of m to the group, retires the replicas under the node id replaced, and removes
+// older ones under its own node id.
+func (c *memberChange) put(replaced string, m control.Member, retire retireFunc) error {
+	if replaced == m.ID {
+		retire = c.removeReplicas
+	}
 	a := memberAddress(m)
 	if a != parseAddress(a.String()) || hostIP(m.LinkAddr) == nil || hostIP(m.APIAddr) == nil {
 		return fmt.Errorf("%w: %q is no member with addresses of the form IP:port", server.ErrMemberRefused, a)
@@ -94,12 +100,12 @@
 		// The disk may hold the log of another group, or of an earlier membership in this one.
 		return fmt.Errorf("%w: the data folder of %s is not blank", server.ErrMemberRefused, m.ID)
 	}
-	// The group tolerates the loss of a second voter best if a dead replica is removed before its
+	// The group tolerates the loss of a second voter best if a dead replica is retired before its
 	// replacement is added, and a running one only afterwards; see TestSecondLossDuringReplacement in
 	// package consensus.
 	beforeCatchUp := c.anySilent(replaced, info.ID)
 	if beforeCatchUp {
-		if err := c.removeReplicas(replaced, info.ID); err != nil {
+		if err := retire(replaced, info.ID); err != nil {
 			return err
 		}
 	}
@@ -109,7 +115,7 @@
 	if err := c.removeReplicas(m.ID, info.ID); err != nil {
 		return err
 	}
-	return c.removeReplicas(replaced, info.ID)
+	return retire(replaced, info.ID)
 }
 
 func (c *memberChange) membership() consensus.Membership { return c.replica.Status().Membership }
@@ -157,6 +163,17 @@
 	return nil
 }
 
+// demoteReplicas turns all voters under a node id except one into learners. They get their votes back
+// when they ask for them.
+func (c *memberChange) demoteReplicas(id string, except consensus.ReplicaID) error {
+	for _, r := range c.replicasOf(id, except) {
+		if err := c.change(consensus.MemberChange{Kind: consensus.Demote, ID: r}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *memberChange) change(change consensus.MemberChange) error {
 	err := c.replica.ChangeMembership(c.ctx, change)
 	if errors.Is(err, consensus.ErrBadChange) {
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -107,10 +107,10 @@
 	p.Mux.Handle(wire.FrameMemberInfo, g.handleInfo)
 	p.Mux.Handle(wire.FrameControlVersion, g.handleVersion)
 	if p.Settings.SelfRepair {
-		j := &joiner{g, logging.Part(p.Log, "join"), func() []string { return g.candidates(&p) }}
+		j := &joiner{Group: g, log: logging.Part(p.Log, "join"), candidateAddrs: func() []string { return g.candidates(&p) }}
 		p.Mux.Handle(wire.FrameControlJoin, j.handleJoin)
 		g.background.Go(func() { j.run(ctx) })
-		g.background.Go(func() { j.prune(ctx) })
+		g.background.Go(func() { j.watchSilence(ctx) })
 	}
 	g.background.Go(func() { g.confirmPeriodically(ctx) })
 	if g.blank && len(founders) > 0 {
