--- a/consensus/core_test.go
+++ b/consensus/core_test.go
@@ -265,6 +265,9 @@
 	clear(s.cutPaths)
 	assert.Assert(t, !learner.core.Membership().IsVoter(learner.id))
 	assert.Assert(t, promoter.core.Membership().IsVoter(learner.id))
-	elected := func() bool { l := s.leader(); return l != nil && l.term > second.term && l.core.committedInCurrentTerm() }
+	elected := func() bool {
+		l := s.leader()
+		return l != nil && l.term > second.term && l.core.committedInCurrentTerm()
+	}
 	assert.Assert(t, s.runUntil(200, elected) >= 0, "no leader")
 }
