Keep the rate limits that upstreams name

The dispatcher reads the limit from every answer and keeps the rate in front of its queue. All work of an upstream passes its dispatcher, so the limit holds for the whole fleet. What exceeds it is declined; what insists waits by rank or is refused. Queued attempts that a new limit delays for too long go elsewhere. Ingresses learn the limit with each end of an attempt, choose other upstreams meanwhile, and repeat it to a dispatcher that has restarted.

Ruled out: other ways to an upstream than its dispatcher.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -88,6 +88,10 @@
 	expiry    entryHeap         // by expiresAt
 	sequence  uint64            // of the last ticket offered
 	inService int
+	limit     rateLimit
+	// meanService is a moving average of the service times of all ranks in ns; 0 if nothing was
+	// measured.
+	meanService float64
 }
 
 // New returns an empty queue without guaranteed shares.
@@ -104,6 +108,26 @@
 // SetSlots sets how many requests the upstream runs at once.
 func (q *Queue) SetSlots(slots int) { q.options.Slots = max(slots, 1) }
 
+// SetRateLimit limits the rate, per second, at which Next returns tickets. 0 stands for no limit.
+func (q *Queue) SetRateLimit(now time.Time, perSecond float64) { q.limit.set(now, perSecond) }
+
+// RateWait returns the time until the rate limit allows the next ticket.
+func (q *Queue) RateWait(now time.Time) time.Duration { return q.limit.wait(now) }
+
+// CountRun counts work that the upstream gets besides the tickets that Next returns towards the rate
+// limit.
+func (q *Queue) CountRun(now time.Time) { q.limit.take(now) }
+
+// Capacity returns how many requests the upstream runs at once: its slots, or fewer if the rate limit
+// leaves some of them empty.
+func (q *Queue) Capacity() float64 {
+	mean := q.meanService
+	if mean == 0 {
+		mean = float64(defaultCost)
+	}
+	return min(float64(q.options.Slots), q.limit.perSecond()*mean/float64(time.Second))
+}
+
 // SetRanks sets the guaranteed shares. Queued tickets stay queued. A rank that
 // is not listed loses its share.
 func (q *Queue) SetRanks(shares []RankShare) {
@@ -127,7 +151,7 @@
 	r := q.rank(level)
 	mean := r.estimate(0)
 	wait := q.wait(now, r, &entry{rank: r, cost: mean})
-	return int(float64(wait) * float64(q.options.Slots) / float64(mean))
+	return int(float64(wait) * q.Capacity() / float64(mean))
 }
 
 // InService returns the number of tickets that Next has returned and that have not
@@ -171,17 +195,18 @@
 	return true, outcome.ReasonNone, evicted
 }
 
-// Next removes and returns the next ticket to run. It is called when a slot is
-// free; each ticket that it returns must be passed to Done later. expired lists the
+// Next removes and returns the next ticket to run, if the rate limit allows one now. It is called
+// when a slot is free; each ticket that it returns must be passed to Done later. expired lists the
 // tickets that were removed because their maximum wait is over; the dispatcher must
 // refuse them with the ExpiryReason.
 func (q *Queue) Next(now time.Time) (t Ticket, expired []Ticket, ok bool) {
 	expired = q.Expire(now)
 	r := q.nextRank()
-	if r == nil {
+	if r == nil || q.limit.wait(now) > 0 {
 		return Ticket{}, expired, false
 	}
 	e := r.head()
+	q.limit.take(now)
 	r.serve(e)
 	q.charge(now, r, e)
 	q.drop(e)
@@ -221,6 +246,26 @@
 	return q.expiry.min().expiresAt, true
 }
 
+// Trim removes and returns the queued tickets that Offer would refuse now, because the upstream
+// accepts less work than it did when they were offered. The dispatcher must refuse them.
+func (q *Queue) Trim(now time.Time) []Ticket {
+	var trimmed []Ticket
+	for _, r := range q.ranks {
+		for _, h := range []entryHeap{r.retriesAndTrials, r.firstAttempts} {
+			for e := h.last(); e != nil; e = h.last() {
+				q.drop(e)
+				if q.pressure(now, e) <= 1 {
+					// Those before it wait for less time.
+					q.add(e)
+					break
+				}
+				trimmed = append(trimmed, e.ticket)
+			}
+		}
+	}
+	return trimmed
+}
+
 // Remove removes a ticket from the queue, for instance because its caller has
 // disconnected. It reports whether the ticket was queued.
 func (q *Queue) Remove(id uint64) bool {
@@ -239,6 +284,7 @@
 	q.inService = max(q.inService-1, 0)
 	if service > 0 {
 		q.rank(t.Level).recordService(t.Expected, service)
+		updateMean(&q.meanService, service)
 	}
 }
 
@@ -310,7 +356,7 @@
 // charge accounts for the slot time that e is about to use, in the usage of its
 // rank and in the credit of all ranks.
 func (q *Queue) charge(now time.Time, r *rank, e *entry) {
-	r.usage.add(now, float64(e.cost)/float64(q.options.Slots))
+	r.usage.add(now, float64(e.cost)/q.Capacity())
 	largest := time.Duration(0)
 	for _, o := range q.ranks {
 		largest = max(largest, o.estimate(0))
@@ -348,8 +394,9 @@
 // served at the rate that the other ranks leave over, but at least at its
 // guaranteed share.
 func (q *Queue) wait(now time.Time, r *rank, e *entry) time.Duration {
+	rateWait := q.limit.wait(now)
 	if len(q.entries) == 0 && q.inService < q.options.Slots {
-		return 0
+		return rateWait
 	}
 	available, moreUrgentWork := 1.0, time.Duration(0)
 	for _, o := range q.ranks {
@@ -365,12 +412,12 @@
 	if available > r.share {
 		work += float64(moreUrgentWork) * max(available, minServiceRate)
 	}
-	slots := float64(q.options.Slots)
-	wait := work / (slots * max(available, r.share, minServiceRate))
+	wait := work / (q.Capacity() * max(available, r.share, minServiceRate))
+	residual := rateWait
 	if q.inService >= q.options.Slots {
-		wait += float64(r.estimate(0)) / slots
+		residual = max(residual, r.estimate(0)/time.Duration(q.options.Slots))
 	}
-	return time.Duration(wait)
+	return time.Duration(wait) + residual
 }
 
 // victim returns the queued entry to evict in favor of e, or nil if e must be
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,9 @@
 	Draining bool
 	// Trial marks an upstream that is being tested after an ejection.
 	Trial bool
+	// RateLimited says that the upstream's rate limit allows no further request yet. It
+	// then counts as full.
+	RateLimited bool
 	// Weight is the fraction of its slots that the upstream should use, above 0 and
 	// up to 1, for instance from Ramp. 0 counts as 1.
 	Weight float64
@@ -264,7 +267,11 @@
 	if req.LastRun {
 		sum = lastRunFailureCost * failing
 	}
-	if !hasFreeSlot(c) {
+	switch {
+	case c.RateLimited:
+		// What runs there does not delay the next request.
+		sum += float64(c.Queued+1) / capacity(c)
+	case !hasFreeSlot(c):
 		sum += float64(c.InUse+c.Queued) / capacity(c)
 	}
 	if c.Region != req.Region {
@@ -324,10 +331,12 @@
 }
 
 // hasFreeSlot reports whether a new request would get a slot without queueing.
-func hasFreeSlot(c *Candidate) bool { return float64(c.InUse+c.Queued) < capacity(c) }
+func hasFreeSlot(c *Candidate) bool {
+	return !c.RateLimited && float64(c.InUse+c.Queued) < capacity(c)
+}
 
 func isFull(c *Candidate) bool {
-	return float64(c.InUse+c.Queued) >= max(fullLoadFactor*capacity(c), 1)
+	return c.RateLimited || float64(c.InUse+c.Queued) >= max(fullLoadFactor*capacity(c), 1)
 }
 
 // Ramp returns the weight of an upstream that became usable at start. The weight rises
--- a/balance/leastcost_test.go
+++ b/balance/leastcost_test.go
@@ -54,3 +54,29 @@
 		assert.Assert(t, n > 200, "upstream %d got %d of 1000 requests", i, n)
 	}
 }
+
+// Guards against requests for an upstream whose rate limit is used up, while others have room or a shorter
+// queue. Load: one request of a region with limited and unlimited upstreams.
+func TestRateLimitedUpstreamIsChosenLast(t *testing.T) {
+	limited := Candidate{Upstream: "limited", Region: "r", Slots: 5, Weight: 0.1, LoadKnown: true, RateLimited: true}
+	queue := Candidate{Upstream: "queue", Region: "r", Slots: 5, InUse: 5, Queued: 2, LoadKnown: true}
+	free := Candidate{Upstream: "free", Region: "r", Slots: 5, InUse: 4, LoadKnown: true}
+	r := rand.New(rand.NewPCG(1, 2))
+	for _, c := range []struct {
+		loadsKnown bool
+		others     []Candidate
+		want       fleet.UpstreamID
+	}{
+		{false, []Candidate{free}, "free"},
+		{false, []Candidate{queue}, "queue"},
+		{true, []Candidate{free, queue}, "free"},
+		{true, []Candidate{queue}, "queue"},
+	} {
+		candidates := append([]Candidate{limited}, c.others...)
+		for range 100 {
+			i, ok := Pick(r, Request{Region: "r", LoadsKnown: c.loadsKnown}, candidates)
+			assert.Assert(t, ok)
+			assert.Equal(t, candidates[i].Upstream, c.want)
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -231,6 +231,8 @@
 	InUse    int              `json:"inUse"`
 	Slots    int              `json:"slots"`
 	Queued   int              `json:"queued"`
+	// RateLimit is how many requests per second the upstream accepts; 0: no limit.
+	RateLimit float64 `json:"rateLimit,omitempty"`
 }
 
 func (d *Dispatcher) upstreamStatuses() []UpstreamStatus {
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -35,8 +35,8 @@
 }
 
 // decline reports whether to decline an attempt that could be served elsewhere, and why: the
-// upstream is gone or draining, is failing, or has no free slot. It needs only the head, so the
-// body of a declined attempt need not be sent.
+// upstream is gone or draining, is failing, has no free slot, or already gets as many requests as it
+// accepts. It needs only the head, so the body of a declined attempt need not be sent.
 func (d *Dispatcher) decline(head *wire.AttemptHead) (wire.AnswerEnd, bool) {
 	d.mu.RLock()
 	u, leaving := d.upstreams[fleet.UpstreamID(head.Upstream)], d.leaving
@@ -56,6 +56,8 @@
 func (u *upstream) decline(now time.Time, head *wire.AttemptHead) outcome.Reason {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.adopt(now, head.Notice)
+	limited := u.queue.RateWait(now) > 0
 	switch {
 	case u.draining:
 		return outcome.ReasonDraining
@@ -63,7 +65,7 @@
 		return outcome.ReasonUpstreamGone
 	case head.Insist:
 		return outcome.ReasonNone
-	case u.failing(now) && !head.LastRun && !now.Before(u.nextProbe):
+	case u.failing(now) && !head.LastRun && !now.Before(u.nextProbe) && !limited:
 		u.scheduleNextProbe(now)
 		head.Insist = true
 		return outcome.ReasonNone
@@ -71,6 +73,8 @@
 		return outcome.ReasonUnhealthy
 	case u.inUse >= u.slots:
 		return outcome.ReasonBusy
+	case limited:
+		return outcome.ReasonLimited
 	}
 	return outcome.ReasonNone
 }
--- /dev/null
+++ b/dispatch/notice_test.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/admission"
+	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// limitOf returns the rate limit of the fixture's upstream, as the dispatcher knows it.
+func (f *fixture) limitOf() float64 {
+	u, _ := f.lookUp("u")
+	return u.status().RateLimit
+}
+
+// answerWithLimit returns a handler that names a limit and answers with a status.
+func answerWithLimit(status int, limit string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if limit != "" {
+			w.Header().Set(HeaderRateLimit, limit)
+		}
+		w.WriteHeader(status)
+	}
+}
+
+// Guards against a limit that is missed in answers other than complete successes.
+func TestLimitIsReadFromEveryAnswer(t *testing.T) {
+	refusal := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderNotRun, "full")
+		answerWithLimit(http.StatusServiceUnavailable, "2.5")(w, r)
+	}
+	cut := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		answerWithLimit(http.StatusOK, "2.5")(w, r)
+		fmt.Fprint(w, "part")
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	for name, h := range map[string]http.HandlerFunc{
+		"success":     answerWithLimit(http.StatusOK, "2.5"),
+		"error":       answerWithLimit(http.StatusInternalServerError, "2.5"),
+		"not found":   answerWithLimit(http.StatusNotFound, "2.5"),
+		"refusal":     refusal,
+		"cut off":     cut,
+		"unavailable": answerWithLimit(http.StatusServiceUnavailable, "2.5"),
+	} {
+		f := newFixture(t, nil, h)
+		_, end := finish(t, begin(t, f, orderHead("a")))
+		assert.Equal(t, f.limitOf(), 2.5, name)
+		assert.Equal(t, end.Load.Notice.RateLimit, 2.5, name)
+		declined := f.open()
+		assert.NilError(t, wire.Write(declined, wire.FrameAttempt, orderHead("b")))
+		_, end = readAnswer(t, declined)
+		assert.Assert(t, end.Reason == outcome.ReasonLimited || end.Reason == outcome.ReasonUnhealthy, "%s: %+v", name, end)
+		assert.Equal(t, f.runs.Load(), int64(1), name)
+	}
+}
+
+// Guards against a limit that is missed when the answer comes before the upstream has read a body.
+func TestLimitIsReadFromAnswerToUpload(t *testing.T) {
+	f := newFixture(t, nil, answerWithLimit(http.StatusOK, "2.5"))
+	head := orderHead("a")
+	head.Streamed, head.BodyBytes = true, 3
+	s := f.open()
+	assert.NilError(t, wire.Write(s, wire.FrameAttempt, head))
+	assert.NilError(t, wire.Read(s, wire.FrameAck, nil))
+	assert.NilError(t, wire.Read(s, wire.FrameContinue, nil))
+	assert.NilError(t, s.WriteFrame(wire.FrameData, []byte("abc")))
+	finish(t, s)
+	assert.Equal(t, f.limitOf(), 2.5)
+}
+
+// Guards against a limit that outlives its end, and against one that a malformed header removes.
+func TestLimitEndsWithAnAnswerWithoutIt(t *testing.T) {
+	limits := []string{"50", "", "50", "many", "-1", "NaN", "+Inf"}
+	answers := 0
+	f := newFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		answerWithLimit(http.StatusOK, limits[answers])(w, r)
+		answers++
+	})
+	for i, want := range []float64{50, 0, 50, 50, 50, 50, 0} {
+		head := orderHead(fmt.Sprint(i))
+		head.Insist = true
+		_, end := finish(t, begin(t, f, head))
+		assert.Equal(t, end.Outcome, outcome.Answered)
+		assert.Equal(t, f.limitOf(), want, limits[i])
+	}
+}
+
+// Guards against an upstream that gets no request any more, so that no answer can end its limit.
+func TestUpstreamWithLimitZeroIsAskedNowAndThen(t *testing.T) {
+	p := OwnProtocol()
+	limit, err := p.rateLimit(http.Header{HeaderRateLimit: {"0"}})
+	assert.NilError(t, err)
+	assert.Equal(t, limit, minRateLimit)
+}
+
+// Guards against the limit of an earlier process of the upstream, and against one that an ingress holds
+// although the upstream has answered without it since.
+func TestOnlyCurrentNoticesAreAdopted(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	notice := func(startMs int64) *wire.AttemptHead {
+		return &wire.AttemptHead{Notice: &wire.UpstreamNotice{StartMs: startMs, RateLimit: 2}}
+	}
+	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", Slots: 2, StartMs: 7}, &Protocol{})
+	u.slots = 2
+	assert.Equal(t, u.decline(now, notice(6)), outcome.ReasonNone)
+	assert.Equal(t, u.rateLimit, 0.0)
+	assert.Equal(t, u.decline(now, notice(7)), outcome.ReasonLimited)
+	assert.Equal(t, u.rateLimit, 2.0)
+	u.setRateLimit(now, 0)
+	assert.Equal(t, u.decline(now, notice(7)), outcome.ReasonNone)
+}
+
+// Guards against queued attempts that wait until they expire at an upstream whose limit has fallen, while
+// others could run them. Load: ten attempts wait for one slot.
+func TestFallenLimitReroutesQueuedAttempts(t *testing.T) {
+	u, _ := grayUpstream()
+	now := time.Now()
+	u.slots, u.inUse = 1, 1
+	var waits []chan outcome.Ended
+	for range 10 {
+		ch, _, _, ok := u.enqueue(admission.Ticket{Deadline: now.Add(5 * time.Second)}, &wire.AttemptHead{Insist: true})
+		assert.Assert(t, ok)
+		waits = append(waits, ch)
+	}
+	u.setRateLimit(now, 1)
+	for i, ch := range waits {
+		select {
+		case e := <-ch:
+			assert.Equal(t, e, outcome.HasNotRun(outcome.ReasonLimited))
+			assert.Assert(t, i >= 2, "attempt %d can start in time", i)
+		default:
+			assert.Assert(t, i < 4, "attempt %d waits in vain", i)
+		}
+	}
+}
+
+// Guards against attempts that wait for a limit and are not started when it allows them.
+func TestQueuedAttemptsStartWhenTheLimitAllows(t *testing.T) {
+	f := newFixture(t, nil, answerWithLimit(http.StatusOK, "20"))
+	finish(t, begin(t, f, orderHead("first")))
+	began := time.Now()
+	var streams []link.Stream
+	for i := range 3 {
+		head := orderHead(strings.Repeat("x", i+1))
+		head.Insist = true
+		s := begin(t, f, head)
+		assert.NilError(t, s.WriteFrame(wire.FrameEnd, nil))
+		streams = append(streams, s)
+	}
+	for _, s := range streams {
+		_, end := readAnswer(t, s)
+		assert.Equal(t, end.Outcome, outcome.Answered)
+	}
+	// The bucket is empty at first, and the limit allows one in 50 ms.
+	assert.Assert(t, time.Since(began) >= 100*time.Millisecond)
+}
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -11,6 +11,9 @@
 	// HeaderNotRun in an answer says that the upstream refused the request before running it, and
 	// why.
 	HeaderNotRun = "Godwithub-Not-Run"
+	// HeaderRateLimit in an answer names the requests per second that the upstream accepts from the
+	// whole fleet, as a decimal number. It holds until an answer without it.
+	HeaderRateLimit = "Godwithub-Rate-Limit"
 )
 
 // Protocol defines the HTTP headers between the dispatcher and upstreams, and how answers are
@@ -28,6 +31,8 @@
 	ExpectedUpstream string
 	// Origin is the header with the service of the VM where the request entered the fleet.
 	Origin string
+	// RateLimit is the header of answers with the requests per second that the upstream accepts.
+	RateLimit string
 	// Refusal returns whether the upstream refused the request, according to its answer.
 	Refusal func(*http.Response) Refusal
 }
@@ -51,6 +56,7 @@
 	return Protocol{
 		RequestID:  HeaderRequestID,
 		DeadlineMs: HeaderDeadlineMs,
+		RateLimit:  HeaderRateLimit,
 		Refusal: func(r *http.Response) Refusal {
 			if r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(HeaderNotRun) != "" {
 				return RefusedFull
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -156,12 +156,14 @@
 		return classify(ctx, err, !errors.Is(err, httpconn.ErrNotSent))
 	}
 	defer resp.Body.Close()
-	switch d.cfg.Protocol.Refusal(resp) {
-	case RefusedFull:
-		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
-	case RefusedWrongUpstream:
+	refusal := d.cfg.Protocol.Refusal(resp)
+	if refusal == RefusedWrongUpstream {
 		return outcome.HasNotRun(outcome.ReasonUpstreamGone), ResultRefused
 	}
+	d.readNotice(u, resp.Header)
+	if refusal == RefusedFull {
+		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
+	}
 	w.writeHead(&wire.AnswerHead{
 		RequestID: head.RequestID,
 		Status:    resp.StatusCode,
@@ -194,6 +196,9 @@
 		u.client.CloseIdle()
 		notSent := errors.Is(err, httpconn.ErrNotSent)
 		if body.streamed == nil && (head.Idempotent || notSent) {
+			if !notSent {
+				u.countResend()
+			}
 			var again error
 			resp, again = u.client.Do(ctx, d.newRequest(ctx, u, head, body), head.RequestID)
 			// The first one may have run even if the second one was not sent.
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -24,6 +24,8 @@
 	service string
 	addr    string
 	client  *httpconn.Client
+	// startMs identifies the incarnation; see announce.Announcement.
+	startMs int64
 
 	mu       sync.Mutex
 	slots    int
@@ -47,6 +49,12 @@
 	reportedFailing bool
 	// ejectable says that the service has an idempotency group, which also grants ejection permits.
 	ejectable bool
+	// rateLimit is how many requests per second the upstream accepts, as it said last; 0: no limit.
+	rateLimit float64
+	// rateTimer runs while attempts wait for the rate limit.
+	rateTimer *time.Timer
+	// answered is set once the upstream has answered a request of this dispatcher.
+	answered bool
 	// slowFailureAt is when a request last failed later than earlySuccessDelay after it was sent.
 	slowFailureAt time.Time
 }
@@ -56,6 +64,7 @@
 		id:      a.ID,
 		service: a.Service,
 		addr:    a.Addr,
+		startMs: a.StartMs,
 		queue:   admission.New(admission.Options{Slots: a.Slots}),
 		waiting: map[uint64]waiter{},
 		running: map[uint64]uint64{},
@@ -169,6 +178,10 @@
 		// The upstream began to fail after decline had accepted the attempt.
 		return nil, t, outcome.HasNotRun(outcome.ReasonUnhealthy), false
 	}
+	if !head.Insist && u.queue.RateWait(now) > 0 {
+		// Another attempt came first after decline had accepted this one.
+		return nil, t, outcome.HasNotRun(outcome.ReasonLimited), false
+	}
 	u.nextID++
 	t.ID = u.nextID
 	u.refuseExpired(now, u.queue.Expire(now))
@@ -189,11 +202,12 @@
 		t, expired, ok := u.queue.Next(now)
 		u.refuseExpired(now, expired)
 		if !ok {
-			return
+			break
 		}
 		u.inUse++
 		u.wake(t.ID, slotGranted)
 	}
+	u.awaitRate(now)
 }
 
 // cancelWait removes a ticket whose context has ended from the queue. A slot that was granted in the
@@ -261,7 +275,14 @@
 			ahead = append(ahead, wire.LevelQueue{Level: level, Ahead: u.queue.TicketsAhead(now, level)})
 		}
 	}
+	capacity := 0.0
+	if u.rateLimit > 0 {
+		capacity = u.queue.Capacity()
+	}
 	return wire.Load{
+		Notice:     u.notice(),
+		Capacity:   capacity,
+		RateWaitMs: u.rateWait(now).Milliseconds(),
 		Ahead:      ahead,
 		SlotsInUse: u.inUse,
 		Slots:      u.slots,
@@ -278,7 +299,7 @@
 func (u *upstream) status() UpstreamStatus {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return UpstreamStatus{u.id, u.service, u.draining, u.inUse, u.slots, len(u.waiting)}
+	return UpstreamStatus{u.id, u.service, u.draining, u.inUse, u.slots, len(u.waiting), u.rateLimit}
 }
 
 // SetSuspect marks an upstream of this VM as suspect or not. Ingresses learn it from the load in
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -274,7 +274,8 @@
 			Ejected:       u.Ejected,
 			Trial:         u.Trial,
 			Draining:      u.State == fleet.UpstreamDraining,
-			Weight:        warmWeight(u, now),
+			Weight:        warmWeight(u, now) * load.capacityShare,
+			RateLimited:   load.rateLimited,
 		}
 	}
 	return out, list
--- a/ingress/loads.go
+++ b/ingress/loads.go
@@ -16,6 +16,10 @@
 	// maxThresholdAge is how long an admission threshold is used. It is short, so that some requests
 	// are still sent and show whether the overload has ended.
 	maxThresholdAge = 250 * time.Millisecond
+	// maxNoticeAge is how long the rate limit of an upstream is used to choose between upstreams. It
+	// is long, since an upstream with a low limit is seldom asked. The dispatcher knows the limit
+	// exactly and declines what exceeds it.
+	maxNoticeAge = 10 * time.Second
 )
 
 // load is what this ingress knows about the load of an upstream.
@@ -28,6 +32,10 @@
 	known      bool // from a report not older than maxLoadAge
 	// failing is the probability that the upstream fails a request.
 	failing float64
+	// capacityShare is the share of its slots that the upstream's rate limit lets it use.
+	capacityShare float64
+	// rateLimited says that the rate limit allows no further request yet.
+	rateLimited bool
 }
 
 // loadTable holds the load of upstreams as reported with answers, and the number of this ingress's
@@ -42,6 +50,13 @@
 	reported        load
 	pending         int // attempts of this ingress in flight
 	pendingAtReport int // value of pending when the report arrived
+
+	// notice is what the upstream said of itself at noticeAt; nil: nothing. capacityShare and
+	// rateReadyAt follow from it: see load, and when its rate limit allows another request.
+	notice        *wire.UpstreamNotice
+	noticeAt      time.Time
+	capacityShare float64
+	rateReadyAt   time.Time
 }
 
 func newLoadTable() *loadTable { return &loadTable{entries: map[fleet.UpstreamID]*loadEntry{}} }
@@ -69,23 +84,40 @@
 	e := t.entries[id]
 	t.mu.RUnlock()
 	if e == nil {
-		return load{threshold: admission.AdmitAll()}
+		return load{threshold: admission.AdmitAll(), capacityShare: 1}
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	l := e.reported
 	l.known = true
 	age := now.Sub(l.reportedAt)
+	l.inUse += max(0, e.pending-e.pendingAtReport)
 	if age > maxLoadAge {
-		return load{inUse: e.pending, threshold: admission.AdmitAll()}
+		l = load{inUse: e.pending}
 	}
 	if age > maxThresholdAge {
 		l.threshold = admission.AdmitAll()
 	}
-	l.inUse += max(0, e.pending-e.pendingAtReport)
+	l.capacityShare, l.rateLimited = 1, now.Before(e.rateReadyAt)
+	if e.notice != nil && now.Sub(e.noticeAt) <= maxNoticeAge {
+		l.capacityShare = e.capacityShare
+	}
 	return l
 }
 
+// notice returns what an upstream said of itself in the last answer that passed this ingress, or nil.
+func (t *loadTable) notice(id fleet.UpstreamID) *wire.UpstreamNotice {
+	t.mu.RLock()
+	e := t.entries[id]
+	t.mu.RUnlock()
+	if e == nil {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.notice
+}
+
 // queued returns the wait of a new request of the rank level, as a number of requests; see
 // wire.LevelQueue.
 func (l *load) queued(level int) int {
@@ -121,6 +153,9 @@
 		return
 	}
 	l := &end.Load
+	e.notice, e.noticeAt = l.Notice, now
+	e.capacityShare = l.Capacity / float64(l.Slots)
+	e.rateReadyAt = now.Add(time.Duration(l.RateWaitMs) * time.Millisecond)
 	e.pendingAtReport = e.pending
 	e.reported = load{
 		inUse:      l.SlotsInUse,
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -39,7 +39,8 @@
 		return
 	}
 	h.declined = append(h.declined, u.ID)
-	if u.Region != h.view.Self.Region {
+	// The rate limit of one upstream says nothing about the others of its region.
+	if u.Region != h.view.Self.Region && e.Reason != outcome.ReasonLimited {
 		h.in.crossRegion.recordDecline(h.rq.service.Name, time.Now())
 	}
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -209,6 +209,7 @@
 	if a.head.RemainingMs <= 0 {
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
+	a.head.Notice = h.in.loads.notice(u.ID)
 	a.head.Insist, a.head.MayHaveRun, a.head.LastRun = h.insists(), h.runs > 0, h.lastRun(now)
 	entry := h.in.loads.entry(u.ID)
 	entry.begin()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -62,6 +62,7 @@
 	ReasonConnect         Reason = "connect-failed"    // connecting to the upstream failed
 	ReasonBusy            Reason = "busy"              // no slot of the upstream is free
 	ReasonUnhealthy       Reason = "unhealthy"         // the upstream currently fails its work
+	ReasonLimited         Reason = "upstream-limit"    // the upstream gets as many requests as it accepts
 	ReasonUpstreamShed    Reason = "upstream-shed"     // the upstream refused the work before running it
 	ReasonFenced          Reason = "fenced"            // the idempotency key was fenced before it was claimed
 	ReasonClaimFailed     Reason = "claim-unavailable" // no quorum to claim the idempotency key
@@ -135,5 +136,5 @@
 // Declined reports whether a dispatcher declined the attempt because another upstream may
 // serve it better. The dispatcher accepts such an attempt if the ingress insists.
 func (e Ended) Declined() bool {
-	return e.Outcome == NotRun && (e.Reason == ReasonBusy || e.Reason == ReasonUnhealthy)
+	return e.Outcome == NotRun && (e.Reason == ReasonBusy || e.Reason == ReasonUnhealthy || e.Reason == ReasonLimited)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -108,6 +108,19 @@
 	// Streamed is set if the body is too large to be held. It is sent after FrameContinue, and passed
 	// on to the upstream as it arrives.
 	Streamed bool `cbor:"22,keyasint,omitempty"`
+	// Notice is what the upstream has said of itself in the last answer that passed the ingress, if
+	// that still holds. A dispatcher that has restarted learns it from here.
+	Notice *UpstreamNotice `cbor:"23,keyasint,omitempty"`
+}
+
+// UpstreamNotice is what an upstream says of itself in its answers.
+type UpstreamNotice struct {
+	// StartMs is the start of the upstream's process in Unix milliseconds; 0 if it reports none. A
+	// notice says nothing about another process of the upstream.
+	StartMs int64 `cbor:"1,keyasint,omitempty"`
+	// RateLimit is how many requests per second the upstream accepts from the whole fleet. 0: no
+	// limit.
+	RateLimit float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
@@ -180,6 +193,13 @@
 	// FailingPercent is the present probability that the upstream fails a request, in percent. See
 	// health.Gray.
 	FailingPercent int `cbor:"9,keyasint,omitempty"`
+	// Notice is what the upstream says of itself; nil if nothing.
+	Notice *UpstreamNotice `cbor:"10,keyasint,omitempty"`
+	// Capacity is how many requests an upstream with a rate limit runs at once; 0 without a limit.
+	Capacity float64 `cbor:"11,keyasint,omitempty"`
+	// RateWaitMs is the time in milliseconds until the rate limit allows a request besides those in
+	// the queue.
+	RateWaitMs int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // LevelQueue is the wait of a new request of a rank level, as the number of requests of that level
