Give no further work to upstreams that say in answers that they leave

No code read the header, so an upstream whose announcements still said "ready" would get requests until its end, and a node that restarted would forget a leave.

The dispatcher refuses new and queued work once an answer says so, and has the upstream published as draining. Ingresses repeat it to a dispatcher that has restarted, with the start time of the upstream's process.

Ruled out: clearing the leave by an answer without the header; answers of one upstream over several connections may be read out of order.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/resource"
@@ -28,3 +29,20 @@
 	}
 	assert.Assert(t, b.View().Config != nil)
 }
+
+// Guards against a fleet that is told that an upstream is ready after it has said in an answer that it
+// leaves, and against a later process of the upstream that counts as leaving.
+func TestLeavingUpstreamIsPublishedAsDraining(t *testing.T) {
+	s, now := &State{Local: map[fleet.UpstreamID]*LocalUpstream{}}, time.Unix(1_700_000_000, 0)
+	announce := func(startMs int64) fleet.UpstreamState {
+		updateLocalUpstreams(s, Announced{announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", StartMs: startMs}}, now)
+		return s.Local["u"].State(now)
+	}
+	assert.Equal(t, announce(7), fleet.UpstreamReady)
+	updateLocalUpstreams(s, UpstreamLeaving{"u", 6}, now)
+	assert.Equal(t, announce(7), fleet.UpstreamReady)
+	updateLocalUpstreams(s, UpstreamLeaving{"u", 7}, now)
+	assert.Equal(t, announce(7), fleet.UpstreamDraining)
+	updateLocalUpstreams(s, Withdrawn{"u"}, now)
+	assert.Equal(t, announce(8), fleet.UpstreamReady)
+}
--- a/board/controllers.go
+++ b/board/controllers.go
@@ -60,6 +60,10 @@
 		delete(s.Local, e.ID)
 	case FailingChanged:
 		s.setFailing(e, now)
+	case UpstreamLeaving:
+		if u := s.Local[e.ID]; u != nil && u.StartMs == e.StartMs {
+			u.leaving = true
+		}
 	case Tick:
 		for id, u := range s.Local {
 			if now.After(u.LeaseEnds) {
--- a/board/state.go
+++ b/board/state.go
@@ -44,6 +44,8 @@
 	suspectSince time.Time
 	// failingSince is when its requests began to fail; zero if they do not.
 	failingSince time.Time
+	// leaving is set once it has said in an answer that it leaves.
+	leaving bool
 	// Verdict is the latest verdict of its detector.
 	Verdict health.Verdict
 	// Ledger is its state in the ledger of its service's group.
@@ -58,7 +60,7 @@
 // State returns the state that the node advertises for the upstream at now.
 func (u *LocalUpstream) State(now time.Time) fleet.UpstreamState {
 	switch {
-	case u.Draining:
+	case u.Draining, u.leaving:
 		return fleet.UpstreamDraining
 	case now.Before(u.WarmUntil(now)):
 		return fleet.UpstreamWarming
@@ -127,17 +129,24 @@
 		ID      fleet.UpstreamID
 		Failing bool
 	}
+	// UpstreamLeaving reports that an upstream of this VM has said in an answer that it leaves. StartMs
+	// is as in announce.Announcement.
+	UpstreamLeaving struct {
+		ID      fleet.UpstreamID
+		StartMs int64
+	}
 	// LeaveRequested asks the node to begin a planned stop.
 	LeaveRequested struct{}
 )
 
-func (Tick) isEvent()           {}
-func (ConfigChanged) isEvent()  {}
-func (NodeChanged) isEvent()    {}
-func (Announced) isEvent()      {}
-func (Withdrawn) isEvent()      {}
-func (FailingChanged) isEvent() {}
-func (LeaveRequested) isEvent() {}
+func (Tick) isEvent()            {}
+func (ConfigChanged) isEvent()   {}
+func (NodeChanged) isEvent()     {}
+func (Announced) isEvent()       {}
+func (Withdrawn) isEvent()       {}
+func (FailingChanged) isEvent()  {}
+func (UpstreamLeaving) isEvent() {}
+func (LeaveRequested) isEvent()  {}
 
 // Action is an effect outside the board that a controller requests.
 type Action interface{ isAction() }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,9 @@
 	// Gone is called for an upstream that refuses connections. It is withdrawn until it announces
 	// itself again. Gone must not block.
 	Gone func(fleet.UpstreamID)
+	// Leaving is called for an upstream that has said in an answer that it leaves, with its start time
+	// (see announce.Announcement). It may be nil and must not block.
+	Leaving func(id fleet.UpstreamID, startMs int64)
 	// Crashes tracks requests that crash upstreams. If nil, they are not tracked.
 	Crashes Crashes
 	// Failing is called when an upstream begins to fail its requests, and when it has recovered.
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -47,6 +47,7 @@
 	case u == nil:
 		return newAnswerEnd(nil, outcome.HasNotRun(outcome.ReasonUpstreamGone)), true
 	}
+	d.adoptNotice(u, head.Notice)
 	reason := u.decline(time.Now(), head)
 	return newAnswerEnd(u, outcome.HasNotRun(reason)), reason != outcome.ReasonNone
 }
@@ -56,7 +57,6 @@
 func (u *upstream) decline(now time.Time, head *wire.AttemptHead) outcome.Reason {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.adopt(now, head.Notice)
 	limited := u.queue.RateWait(now) > 0
 	switch {
 	case u.draining:
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -32,9 +32,17 @@
 	return max(perSecond, minRateLimit), nil
 }
 
+// saysLeaving returns whether the head of an answer says that the upstream leaves.
+func (p *Protocol) saysLeaving(h http.Header) bool {
+	return p.Leaving != "" && h.Get(p.Leaving) == "1"
+}
+
 // readNotice records what u says of itself in the head of an answer. What cannot be read changes
 // nothing.
 func (d *Dispatcher) readNotice(u *upstream, h http.Header) {
+	if d.cfg.Protocol.saysLeaving(h) && u.setLeaving() {
+		d.reportLeaving(u, "answer")
+	}
 	limit, err := d.cfg.Protocol.rateLimit(h)
 	if err != nil {
 		d.log.Warn("answer with a malformed header", "upstream", u.id, "fault", err)
@@ -45,6 +53,28 @@
 	}
 }
 
+// reportLeaving logs and reports that u leaves, as the source says: an answer, or a peer that has passed
+// one on.
+func (d *Dispatcher) reportLeaving(u *upstream, source string) {
+	d.log.Info("upstream says that it leaves", "upstream", u.id, "service", u.service, "source", source)
+	if d.cfg.Leaving != nil {
+		d.cfg.Leaving(u.id, u.startMs)
+	}
+}
+
+// setLeaving refuses new and queued attempts from now on. It returns whether the upstream was not known
+// to leave.
+func (u *upstream) setLeaving() (first bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.leaving {
+		return false
+	}
+	u.leaving, u.draining = true, true
+	u.refuseQueue(outcome.ReasonDraining)
+	return true
+}
+
 // setRateLimit records the rate limit of the latest answer, 0 for none, and returns whether it differs
 // from the one before.
 func (u *upstream) setRateLimit(now time.Time, perSecond float64) (changed bool) {
@@ -59,15 +89,28 @@
 	return true
 }
 
-// adopt takes over what an ingress knows from earlier answers, unless this dispatcher has seen an
-// answer itself. u.mu is held.
-func (u *upstream) adopt(now time.Time, n *wire.UpstreamNotice) {
-	if n == nil || u.answered || n.StartMs != u.startMs || n.RateLimit == u.rateLimit {
+// adoptNotice takes over what an ingress knows from earlier answers, in case this dispatcher has restarted
+// since.
+func (d *Dispatcher) adoptNotice(u *upstream, n *wire.UpstreamNotice) {
+	if n == nil || n.StartMs != u.startMs {
 		return
 	}
-	if n.RateLimit > 0 {
-		u.limitRate(now, max(n.RateLimit, minRateLimit))
+	// Without a start time, the answer may have come from an earlier process of the upstream.
+	if n.Leaving && n.StartMs != 0 && u.setLeaving() {
+		d.reportLeaving(u, "peer")
+	}
+	u.adoptRateLimit(time.Now(), n.RateLimit)
+}
+
+// adoptRateLimit applies a rate limit from an earlier answer, unless the upstream has answered this
+// dispatcher since.
+func (u *upstream) adoptRateLimit(now time.Time, perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.answered || perSecond <= 0 || perSecond == u.rateLimit {
+		return
 	}
+	u.limitRate(now, max(perSecond, minRateLimit))
 }
 
 // limitRate applies a rate limit. Attempts in the queue that would now wait for too long are refused:
@@ -124,8 +167,8 @@
 
 // notice returns what the upstream says of itself, or nil if that is nothing. u.mu is held.
 func (u *upstream) notice() *wire.UpstreamNotice {
-	if u.rateLimit == 0 {
+	if u.rateLimit == 0 && !u.leaving {
 		return nil
 	}
-	return &wire.UpstreamNotice{StartMs: u.startMs, RateLimit: u.rateLimit}
+	return &wire.UpstreamNotice{StartMs: u.startMs, RateLimit: u.rateLimit, Leaving: u.leaving}
 }
--- a/dispatch/notice_test.go
+++ b/dispatch/notice_test.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/admission"
-	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
@@ -106,19 +107,23 @@
 
 // Guards against the limit of an earlier process of the upstream, and against one that an ingress holds
 // although the upstream has answered without it since.
-func TestOnlyCurrentNoticesAreAdopted(t *testing.T) {
-	now := time.Unix(1_700_000_000, 0)
-	notice := func(startMs int64) *wire.AttemptHead {
-		return &wire.AttemptHead{Notice: &wire.UpstreamNotice{StartMs: startMs, RateLimit: 2}}
+func TestOnlyCurrentLimitsAreAdopted(t *testing.T) {
+	f := newFixture(t, nil, answerWithLimit(http.StatusOK, ""))
+	f.Withdraw("u")
+	f.announcement.StartMs = 7
+	f.Announce(f.announcement)
+	u, _ := f.lookUp("u")
+	adopted := func(startMs int64) float64 {
+		f.adoptNotice(u, &wire.UpstreamNotice{StartMs: startMs, RateLimit: 2})
+		return f.limitOf()
 	}
-	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", Slots: 2, StartMs: 7}, &Protocol{})
-	u.slots = 2
-	assert.Equal(t, u.decline(now, notice(6)), outcome.ReasonNone)
-	assert.Equal(t, u.rateLimit, 0.0)
-	assert.Equal(t, u.decline(now, notice(7)), outcome.ReasonLimited)
-	assert.Equal(t, u.rateLimit, 2.0)
-	u.setRateLimit(now, 0)
-	assert.Equal(t, u.decline(now, notice(7)), outcome.ReasonNone)
+	assert.Equal(t, adopted(6), 0.0)
+	assert.Equal(t, adopted(7), 2.0)
+	head := orderHead("a")
+	head.Insist = true
+	finish(t, begin(t, f, head))
+	assert.Equal(t, f.limitOf(), 0.0)
+	assert.Equal(t, adopted(7), 0.0)
 }
 
 // Guards against queued attempts that wait until they expire at an upstream whose limit has fallen, while
@@ -165,3 +170,60 @@
 	// The bucket is empty at first, and the limit allows one in 50 ms.
 	assert.Assert(t, time.Since(began) >= 100*time.Millisecond)
 }
+
+// leavingFixture returns a fixture whose upstream says in each answer that it leaves, and which counts the
+// reports of that.
+func leavingFixture(t *testing.T) (f *fixture, reports *atomic.Int64) {
+	reports = new(atomic.Int64)
+	f = newFixture(t, nil, func(w http.ResponseWriter, r *http.Request) { w.Header().Set(HeaderLeaving, "1") })
+	f.cfg.Leaving = func(id fleet.UpstreamID, startMs int64) {
+		assert.Equal(t, id, fleet.UpstreamID("u"))
+		assert.Equal(t, startMs, f.announcement.StartMs)
+		reports.Add(1)
+	}
+	return f, reports
+}
+
+// Guards against work for an upstream that has said in an answer that it leaves, while its announcements
+// still say that it is ready.
+func TestUpstreamThatSaysItLeavesGetsNoFurtherWork(t *testing.T) {
+	f, reports := leavingFixture(t)
+	_, end := finish(t, begin(t, f, orderHead("a")))
+	assert.Equal(t, end.Outcome, outcome.Answered)
+	assert.Assert(t, end.Load.Notice.Leaving)
+	for i, insist := range []bool{false, true} {
+		f.Announce(f.announcement)
+		head := orderHead(fmt.Sprint(i))
+		head.Insist = insist
+		s := f.open()
+		assert.NilError(t, wire.Write(s, wire.FrameAttempt, head))
+		_, end = readAnswer(t, s)
+		assert.Equal(t, end.Reason, outcome.ReasonDraining)
+	}
+	assert.Equal(t, f.runs.Load(), int64(1))
+	assert.Equal(t, reports.Load(), int64(1))
+}
+
+// Guards against a restarted dispatcher that takes an upstream for ready although nodes that did not
+// restart have passed on that it leaves, and against taking a later process of the upstream for leaving.
+func TestRestartedDispatcherIsToldThatUpstreamLeaves(t *testing.T) {
+	for _, c := range []struct {
+		announced, told int64
+		want            outcome.Reason
+	}{
+		{7, 7, outcome.ReasonDraining},
+		{8, 7, outcome.ReasonNone},
+		{0, 0, outcome.ReasonNone}, // It is not known whether the upstream has restarted since.
+	} {
+		f, reports := leavingFixture(t)
+		f.Withdraw("u")
+		f.announcement.StartMs = c.announced
+		f.Announce(f.announcement)
+		head := orderHead("a")
+		head.Notice = &wire.UpstreamNotice{StartMs: c.told, Leaving: true}
+		end, declined := f.decline(head)
+		assert.Equal(t, end.Reason, c.want)
+		assert.Equal(t, declined, c.want != outcome.ReasonNone)
+		assert.Equal(t, reports.Load() == 1, declined)
+	}
+}
--- a/dispatch/protocol.go
+++ b/dispatch/protocol.go
@@ -14,6 +14,9 @@
 	// HeaderRateLimit in an answer names the requests per second that the upstream accepts from the
 	// whole fleet, as a decimal number. It holds until an answer without it.
 	HeaderRateLimit = "Godwithub-Rate-Limit"
+	// HeaderLeaving in an answer says with the value 1 that the upstream leaves and takes no new
+	// requests.
+	HeaderLeaving = "Godwithub-Leaving"
 )
 
 // Protocol defines the HTTP headers between the dispatcher and upstreams, and how answers are
@@ -33,6 +36,8 @@
 	Origin string
 	// RateLimit is the header of answers with the requests per second that the upstream accepts.
 	RateLimit string
+	// Leaving is the header of answers of an upstream that leaves; its value is 1.
+	Leaving string
 	// Refusal returns whether the upstream refused the request, according to its answer.
 	Refusal func(*http.Response) Refusal
 }
@@ -57,6 +62,7 @@
 		RequestID:  HeaderRequestID,
 		DeadlineMs: HeaderDeadlineMs,
 		RateLimit:  HeaderRateLimit,
+		Leaving:    HeaderLeaving,
 		Refusal: func(r *http.Response) Refusal {
 			if r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(HeaderNotRun) != "" {
 				return RefusedFull
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -31,11 +31,14 @@
 	slots    int
 	inUse    int
 	draining bool
-	closed   bool
-	suspect  bool
-	queue    *admission.Queue
-	waiting  map[uint64]waiter
-	nextID   uint64
+	// leaving is set once the upstream has said in an answer that it leaves. Its announcements may
+	// say so later or not at all.
+	leaving bool
+	closed  bool
+	suspect bool
+	queue   *admission.Queue
+	waiting map[uint64]waiter
+	nextID  uint64
 	// running holds the fingerprints of the requests at the upstream, by ticket ID.
 	running map[uint64]uint64
 	// rankLevels holds the levels of the configured ranks.
@@ -82,7 +85,7 @@
 	defer u.mu.Unlock()
 	u.slots = a.ConnectionsUpTo(a.Slots)
 	u.queue.SetSlots(u.slots)
-	u.draining = a.Draining
+	u.draining = a.Draining || u.leaving
 	if u.draining {
 		u.refuseQueue(outcome.ReasonDraining)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -273,7 +273,7 @@
 			Suspect:       u.Suspect || load.suspect || in.paths.hasFailed(u.Node),
 			Ejected:       u.Ejected,
 			Trial:         u.Trial,
-			Draining:      u.State == fleet.UpstreamDraining,
+			Draining:      u.State == fleet.UpstreamDraining || load.leaving,
 			Weight:        warmWeight(u, now) * load.capacityShare,
 			RateLimited:   load.rateLimited,
 		}
--- a/ingress/loads.go
+++ b/ingress/loads.go
@@ -36,6 +36,8 @@
 	capacityShare float64
 	// rateLimited says that the rate limit allows no further request yet.
 	rateLimited bool
+	// leaving says that the upstream has said in an answer that it leaves.
+	leaving bool
 }
 
 // loadTable holds the load of upstreams as reported with answers, and the number of this ingress's
@@ -154,7 +156,10 @@
 	}
 	l := &end.Load
 	e.notice, e.noticeAt = l.Notice, now
-	e.capacityShare = l.Capacity / float64(l.Slots)
+	e.capacityShare = 1
+	if l.Capacity > 0 {
+		e.capacityShare = l.Capacity / float64(l.Slots)
+	}
 	e.rateReadyAt = now.Add(time.Duration(l.RateWaitMs) * time.Millisecond)
 	e.pendingAtReport = e.pending
 	e.reported = load{
@@ -163,6 +168,7 @@
 		suspect:    l.Suspect,
 		failing:    float64(l.FailingPercent) / 100,
 		threshold:  l.Threshold(),
+		leaving:    l.Notice != nil && l.Notice.Leaving,
 		reportedAt: now,
 	}
 }
--- a/node/new.go
+++ b/node/new.go
@@ -99,6 +99,7 @@
 		Configuration: configuration,
 		Observe:       n.observe,
 		Gone:          func(id fleet.UpstreamID) { go n.post(board.Withdrawn{ID: id}) },
+		Leaving:       func(id fleet.UpstreamID, startMs int64) { go n.post(board.UpstreamLeaving{ID: id, StartMs: startMs}) },
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
 		Protocol:      n.options.UpstreamProtocol,
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -121,6 +121,8 @@
 	// RateLimit is how many requests per second the upstream accepts from the whole fleet. 0: no
 	// limit.
 	RateLimit float64 `cbor:"2,keyasint,omitempty"`
+	// Leaving says that the upstream leaves and takes no new requests.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Ack acknowledges an attempt.
