--- a/httpdrain/conns.go
+++ b/httpdrain/conns.go
@@ -115,6 +115,8 @@
 	mu       sync.Mutex
 	lastRead time.Time
 	closed   bool
+	// lingering is set once linger will close the connection.
+	lingering bool
 }
 
 // Read implements net.Conn. Bytes that arrive after closeIfUnread are not delivered, so that no part
--- a/node/upload_test.go
+++ b/node/upload_test.go
@@ -203,8 +203,7 @@
 			source := &stalledReader{left: size, stallAt: size / 2, release: release, stalled: &sending}
 			ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
 			defer cancel()
-			// Those that wait for too long are refused. What their callers see of that is the subject
-			// of TestRefusedUploadsGetTheirAnswer.
+			// Those that wait for too long are refused; see TestRefusedUploadsGetTheirAnswer.
 			f.post(ctx, io.LimitReader(source, size))
 		})
 	}
