Revert "Offer idempotent requests to upstreams that want a probe"

The failures that make a tenth of the requests unserved come from upstreams that are failing at that time, not from too few probes alone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,9 +32,6 @@
 	Suspect  bool
 	Ejected  bool
 	Draining bool
-	// WantsProbe says that an idempotent request is wanted, to find out whether the
-	// upstream still fails its work.
-	WantsProbe bool
 	// Trial marks an upstream that is being tested after an ejection.
 	Trial bool
 	// RateLimited says that the upstream's rate limit allows no further request yet. It
@@ -117,9 +114,6 @@
 	if i, ok := pickTrial(r, &req, candidates, tiers[tierTrial]); ok {
 		return i, true
 	}
-	if i, ok := pickProbe(r, &req, candidates); ok {
-		return i, true
-	}
 	if i, ok := pickSuspect(r, &req, candidates, slices.Concat(tiers[tierNear], tiers[tierHome]), tiers[tierSuspect]); ok {
 		return i, true
 	}
@@ -171,25 +165,6 @@
 	return i, c.InUse+c.Queued == 0
 }
 
-// pickProbe sends a request that can be run again elsewhere to an upstream of the region that wants one
-// as a probe.
-func pickProbe(r *rand.Rand, req *Request, candidates []Candidate) (index int, ok bool) {
-	if !req.Idempotent || req.LastRun {
-		return 0, false
-	}
-	seen := 0
-	for i := range candidates {
-		c := &candidates[i]
-		if !c.WantsProbe || c.Region != req.Region || isFull(c) || tierOf(req, c) == tierUnusable {
-			continue
-		}
-		if seen++; r.IntN(seen) == 0 {
-			index = i
-		}
-	}
-	return index, seen > 0
-}
-
 // pickSuspect sends suspects a fraction of the work that they would get if they were
 // healthy.
 func pickSuspect(r *rand.Rand, req *Request, candidates []Candidate, healthy, suspects []int) (int, bool) {
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -84,14 +84,6 @@
 	return u.gray.FailureProbability(now) >= health.GrayFailingThreshold
 }
 
-// probeIn returns the time until a failing upstream accepts the next probe. u.mu is held.
-func (u *upstream) probeIn(now time.Time) time.Duration {
-	if !u.failing(now) {
-		return 0
-	}
-	return max(0, u.nextProbe.Sub(now))
-}
-
 // recordResult records whether an attempt that was sent to u at start has failed.
 func (d *Dispatcher) recordResult(u *upstream, start, now time.Time, failed bool) {
 	if changed, failing := u.recordResult(start, now, failed); changed && d.cfg.Failing != nil {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -284,8 +284,6 @@
 	}
 	return wire.Load{
 		Notice:     u.notice(),
-		WantsProbe: u.failing(now) || u.gray.Doubtful(now),
-		ProbeInMs:  u.probeIn(now).Milliseconds(),
 		Capacity:   capacity,
 		RateWaitMs: u.rateWait(now).Milliseconds(),
 		Ahead:      ahead,
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -270,7 +270,6 @@
 			LoadKnown:     load.known,
 			Failing:       load.failing,
 			Queued:        load.queued(level),
-			WantsProbe:    load.wantsProbe && !now.Before(load.probeAt),
 			Suspect:       u.Suspect || load.suspect || in.paths.hasFailed(u.Node),
 			Ejected:       u.Ejected,
 			Trial:         u.Trial,
--- a/ingress/loads.go
+++ b/ingress/loads.go
@@ -36,10 +36,6 @@
 	capacityShare float64
 	// rateLimited says that the rate limit allows no further request yet.
 	rateLimited bool
-	// wantsProbe says that an idempotent request is wanted from probeAt on, to find out whether the
-	// upstream still fails.
-	wantsProbe bool
-	probeAt    time.Time
 	// leaving says that the upstream has said in an answer that it leaves.
 	leaving bool
 }
@@ -172,8 +168,6 @@
 		suspect:    l.Suspect,
 		failing:    float64(l.FailingPercent) / 100,
 		threshold:  l.Threshold(),
-		wantsProbe: l.WantsProbe,
-		probeAt:    now.Add(time.Duration(l.ProbeInMs) * time.Millisecond),
 		leaving:    l.Notice != nil && l.Notice.Leaving,
 		reportedAt: now,
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -199,10 +199,6 @@
 	Notice *UpstreamNotice `cbor:"10,keyasint,omitempty"`
 	// Capacity is how many requests an upstream with a rate limit runs at once; 0 without a limit.
 	Capacity float64 `cbor:"11,keyasint,omitempty"`
-	// WantsProbe says that the upstream fails, or may fail, and that an idempotent request is wanted in
-	// ProbeInMs milliseconds to find out.
-	WantsProbe bool  `cbor:"13,keyasint,omitempty"`
-	ProbeInMs  int64 `cbor:"14,keyasint,omitempty"`
 	// RateWaitMs is the time in milliseconds until the rate limit allows a request besides those in
 	// the queue.
 	RateWaitMs int64 `cbor:"12,keyasint,omitempty"`
