Drop what a stream has not sent when it is reset

An ingress that gets no acknowledgement over a cut path resets the stream and tries another way. The reset closed the TCP connection, which goes on sending what is buffered: after the cut, the abandoned attempt arrived and ran. A reset now drops these bytes.

TestResetDropsWhatIsNotSent fails without the change (the peer reads to a regular end). Ruled out: retries that the ingress does not count; its log ends with the answer.

--- /dev/null
+++ b/link/tlslink/reset_test.go
@@ -0,0 +1,66 @@
+package tlslink
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/link"
+)
+
+// Guards against frames of a stream that was reset and still arrive: the system sends what is buffered
+// after a connection is closed, and over a path that was cut that can be many seconds later. A
+// dispatcher would then run an attempt that its ingress has long given up.
+func TestResetDropsWhatIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	d := NewDialer("", nil)
+	defer d.Close()
+	s, err := d.Open(t.Context(), ln.Addr().String())
+	assert.NilError(t, err)
+	peer, err := ln.Accept()
+	assert.NilError(t, err)
+	defer peer.Close()
+	// The peer reads nothing until the buffers of both ends are full.
+	written := make(chan int)
+	go func() {
+		n := 0
+		for s.WriteFrame(1, make([]byte, link.MaxPayload)) == nil {
+			n += link.MaxPayload
+		}
+		written <- n
+	}()
+	awaitFullBuffers(t, peer)
+	s.Reset()
+	accepted := <-written
+	received, err := io.Copy(io.Discard, peer)
+	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+	assert.Assert(t, received < int64(accepted), "%d of %d bytes arrive", received, accepted)
+}
+
+// awaitFullBuffers waits until the receive buffer of c does not fill any further.
+func awaitFullBuffers(t *testing.T, c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	buf := make([]byte, 16<<20)
+	for last := -1; ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		n := 0
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}))
+		if n > 0 && n == last {
+			return
+		}
+		last = n
+	}
+	t.Fatal("the buffers do not fill")
+}
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -88,13 +88,17 @@
 }
 
 // abort closes the TCP connection without sending the TLS close_notify alert, since that write
-// could block if the peer no longer responds.
+// could block if the peer no longer responds. Bytes that are not sent yet are dropped. Otherwise the
+// system would go on sending them, and they could arrive long after the stream was given up.
 func (c *conn) abort() {
-	if tc, ok := c.Conn.(*tls.Conn); ok {
-		tc.NetConn().Close()
-		return
+	nc := c.Conn
+	if tc, ok := nc.(*tls.Conn); ok {
+		nc = tc.NetConn()
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
 	}
-	c.Conn.Close()
+	nc.Close()
 }
 
 // NewDialer returns a dialer that connects from localIP, or from any address if localIP is empty.
