Tell the end of a failing phase also without work

The fleet avoids an upstream that has failed for 10 s; the end of the phase was told with the next success, which does not come to an upstream that gets no work.

The dispatcher now tells the end when its filter considers the phase over.

TestEndOfFailingPhaseIsToldWithoutWork fails without the change.

--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
-	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -80,17 +79,51 @@
 }
 
 // failing reports whether the upstream is failing its requests. u.mu is held.
-func (u *upstream) failing(now time.Time) bool {
-	return u.gray.FailureProbability(now) >= health.GrayFailingThreshold
-}
+func (u *upstream) failing(now time.Time) bool { return u.gray.Failing(now) }
 
 // recordResult records whether an attempt that was sent to u at start has failed.
 func (d *Dispatcher) recordResult(u *upstream, start, now time.Time, failed bool) {
-	if changed, failing := u.recordResult(start, now, failed); changed && d.cfg.Failing != nil {
+	changed, failing := u.recordResult(start, now, failed)
+	if changed {
+		d.reportFailing(u, failing)
+	}
+	if failing {
+		d.awaitRecovery(u, now)
+	}
+}
+
+func (d *Dispatcher) reportFailing(u *upstream, failing bool) {
+	if d.cfg.Failing != nil {
 		d.cfg.Failing(u.id, failing)
 	}
 }
 
+// awaitRecovery reports the end of a failing phase that ends without further evidence. A fleet that was
+// told that the upstream fails sends it hardly any work, so evidence might never come.
+func (d *Dispatcher) awaitRecovery(u *upstream, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.recoveryTimer != nil {
+		u.recoveryTimer.Stop()
+	}
+	u.recoveryTimer = time.AfterFunc(u.gray.FailingUntil().Sub(now)+time.Millisecond, func() {
+		if u.endPhase(time.Now()) {
+			d.reportFailing(u, false)
+		}
+	})
+}
+
+// endPhase records that a failing phase is reported as ended, if it has ended and was not reported yet.
+func (u *upstream) endPhase(now time.Time) (ended bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed || !u.reportedFailing || u.failing(now) {
+		return false
+	}
+	u.reportedFailing = false
+	return true
+}
+
 // recordResult returns whether the upstream is failing now, and whether that differs from what was
 // reported last: a failing phase can also end through the passing of time, without an observation.
 // If the upstream is failing, waiting attempts that can be rerouted are refused.
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/admission"
 	"github.com/godwithub/godwithub/announce"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -86,6 +89,25 @@
 	assert.Assert(t, !changed)
 }
 
+// Guards against an upstream that the fleet avoids for as long as nothing else is full: the end of its
+// failing phase must be told although no request reaches it.
+func TestEndOfFailingPhaseIsToldWithoutWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var told []bool
+		d := New(Config{Log: logging.Discard(), Failing: func(_ fleet.UpstreamID, failing bool) { told = append(told, failing) }})
+		u, _ := grayUpstream()
+		for range 3 {
+			d.recordResult(u, time.Now(), time.Now(), true)
+			time.Sleep(time.Second)
+		}
+		assert.DeepEqual(t, told, []bool{true})
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, told, []bool{true, false})
+		assert.Assert(t, !u.failing(time.Now()))
+	})
+}
+
 // Guards against an upstream that gets no work for long after it has recovered: each probe that
 // succeeds must be followed by the next at once.
 func TestRecoveredUpstreamReturns(t *testing.T) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -48,8 +48,10 @@
 	gray          health.Gray
 	nextProbe     time.Time
 	probeInterval time.Duration
-	// reportedFailing is the state that was last reported to Config.Failing.
+	// reportedFailing is the state that was last reported to Config.Failing, and recoveryTimer runs
+	// while that is true.
 	reportedFailing bool
+	recoveryTimer   *time.Timer
 	// ejectable says that the service has an idempotency group, which also grants ejection permits.
 	ejectable bool
 	// rateLimit is how many requests per second the upstream accepts, as it said last; 0: no limit.
--- a/health/gray.go
+++ b/health/gray.go
@@ -51,6 +51,19 @@
 	return grayPrior + (g.probability-grayPrior)*math.Exp(-age*(grayOnsetRate+grayRecoveryRate))
 }
 
+// Failing reports whether the upstream counts as failing at now.
+func (g *Gray) Failing(now time.Time) bool { return g.FailureProbability(now) >= GrayFailingThreshold }
+
+// FailingUntil returns when an upstream that counts as failing no longer does without further
+// evidence. It returns the time of the last evidence if the upstream did not count as failing then.
+func (g *Gray) FailingUntil() time.Time {
+	if g.probability <= GrayFailingThreshold {
+		return g.updatedAt
+	}
+	decays := math.Log((g.probability - grayPrior) / (GrayFailingThreshold - grayPrior))
+	return g.updatedAt.Add(time.Duration(decays / (grayOnsetRate + grayRecoveryRate) * float64(time.Second)))
+}
+
 // Doubtful reports whether the upstream should be avoided for a request that cannot be run again
 // elsewhere: it has failed recently, and there is no recent evidence that it is healthy.
 func (g *Gray) Doubtful(now time.Time) bool {
