Ask for a newer configuration before refusing for want of a route

The node learns of it within about a second, but the refusal is final for the caller.

Before such a refusal the node asks control for its version and waits for a newer configuration, for half a second or a quarter of the caller's time at most. Questions are coalesced; if control does not answer, it is not asked again for 5 s, so that requests do not wait while it is away.

TestRefusalForWantOfARouteIsConfirmed and TestConfirmBringsTheNewestVersion do not compile without the change; with a ConfirmConfig that is never called the first one gets "no-route" at once. Ruled out: a question to peers; a peer may be behind as well.

--- a/distribute/follower.go
+++ b/distribute/follower.go
@@ -47,6 +47,8 @@
 	connected atomic.Bool
 	stats     followerCounters
 	lag       lag
+
+	confirmations confirmations
 }
 
 type followerCounters struct {
--- a/distribute/lastnode_test.go
+++ b/distribute/lastnode_test.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/resource"
 )
 
 // lastNodeBound is half of the time in which an acknowledged change must be in force at each node that
@@ -48,3 +51,32 @@
 		assert.Check(t, worst <= lastNodeBound, fmt.Sprintf("%.0f%% of the paths cut: last node after %v", 100*share, worst))
 	}
 }
+
+// Guards against a node that refuses a request although control knows a newer configuration: no news has
+// reached the node. Control then goes away, which must not hold further requests.
+func TestConfirmBringsTheNewestVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, control, source, nodes := newFleet(t, 10, 2)
+		defer net.stop()
+		net.setCut(cutPairs(rand.New(rand.NewPCG(1, 1)), len(nodes), 1))
+		confirm := func(n *host) (resource.Version, time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			start := time.Now()
+			return n.follower.Confirm(ctx), time.Since(start)
+		}
+		v := applyChange(t, control, source)
+		for _, n := range nodes {
+			held, took := confirm(n)
+			assert.Equal(t, held, v)
+			assert.Assert(t, took < 300*time.Millisecond, "%v", took)
+		}
+		net.setCut(func(_, _ string) bool { return true })
+		time.Sleep(time.Second)
+		_, first := confirm(nodes[0])
+		assert.Assert(t, first <= 500*time.Millisecond, "%v", first)
+		time.Sleep(time.Second)
+		_, next := confirm(nodes[0])
+		assert.Equal(t, next, time.Duration(0))
+	})
+}
--- a/ingress/startup_test.go
+++ b/ingress/configuration_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/resource"
 )
 
 // startupCase describes a request to a node that has been running for uptime and gets its
@@ -64,3 +66,48 @@
 	}
 	assert.Equal(t, w.Header().Get(HeaderReason), wantReason)
 }
+
+// Guards against a request that is refused for want of a route which control has already confirmed to its
+// operator, and against holding requests for routes that do not exist.
+func TestRefusalForWantOfARouteIsConfirmed(t *testing.T) {
+	current := testView().Config.Version
+	for _, c := range []struct {
+		name             string
+		newest           resource.Version
+		answers, applied time.Duration
+		held             time.Duration
+		wantReason       string
+	}{
+		{"the route is new", resource.Version{Epoch: 1, Revision: 9}, 60 * time.Millisecond, 150 * time.Millisecond, 150 * time.Millisecond, "no-upstream"},
+		{"no such route", current, 60 * time.Millisecond, time.Hour, 60 * time.Millisecond, "no-route"},
+		{"control is away", current, time.Hour, time.Hour, maxConfirmTime, "no-route"},
+		{"the pull is late", resource.Version{Epoch: 1, Revision: 9}, 60 * time.Millisecond, time.Hour, maxConfirmTime, "no-route"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				old, updated := testView(), testView()
+				replaced := make(chan struct{})
+				old.Replaced = replaced
+				updated.Config.Version = resource.Version{Epoch: 1, Revision: 9}
+				var view atomic.Pointer[board.View]
+				view.Store(old)
+				confirm := func(ctx context.Context) resource.Version {
+					select {
+					case <-time.After(c.answers):
+						return c.newest
+					case <-ctx.Done():
+						return current
+					}
+				}
+				in := New(Config{Log: logging.Discard(), View: view.Load, ConfirmConfig: confirm})
+				defer time.AfterFunc(c.applied, func() { view.Store(updated); close(replaced) }).Stop()
+				host := "shop.example"
+				old.Config = resource.Compile(resource.NewSet(current))
+				w, began := httptest.NewRecorder(), time.Now()
+				in.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://"+host+"/orders", nil))
+				assert.Equal(t, time.Since(began), c.held)
+				assert.Equal(t, w.Header().Get(HeaderReason), c.wantReason)
+			})
+		})
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/metrics"
 	"github.com/godwithub/godwithub/reqbody"
+	"github.com/godwithub/godwithub/resource"
 	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -49,6 +50,10 @@
 	// RetryLimits returns the limits of the retry budget of each service. If nil, the defaults of
 	// package retry apply.
 	RetryLimits func() retry.Limits
+	// ConfirmConfig returns the version of the newest configuration, which View shows soon after. It is
+	// called before a request is refused for want of a route or kind. If nil, the request is refused
+	// at once.
+	ConfirmConfig func(ctx context.Context) resource.Version
 	// LameDuck makes a leaving node serve new requests until its listener is closed. Otherwise it
 	// refuses them.
 	LameDuck bool
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -36,6 +36,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	rq, err := in.parse(v, r, began)
+	if mayBeNewer(err) {
+		if newer := in.confirmConfig(v, r); newer != v {
+			v = newer
+			rq, err = in.parse(v, r, began)
+		}
+	}
 	if err == nil {
 		err = in.readBody(v, rq, w)
 		defer rq.releaseBody()
--- a/node/new.go
+++ b/node/new.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"log/slog"
 	"net"
@@ -122,6 +123,7 @@
 		CallerProtocol: n.options.CallerProtocol,
 		Origin:         n.settings.OriginService,
 		LameDuck:       n.settings.LameDuck > 0,
+		ConfirmConfig:  func(ctx context.Context) resource.Version { return n.configSource.Confirm(ctx) },
 
 		RetryLimits: n.retryLimits(),
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -76,6 +76,9 @@
 	// Subscribe calls f for the current configuration, if any, and for each newer one.
 	Subscribe(f func(*resource.Set))
 	Run(ctx context.Context) error
+	// Confirm asks whether there is a newer configuration and returns the version of the newest, which
+	// was passed to Subscribe. It returns the present one if nothing answers until ctx ends.
+	Confirm(ctx context.Context) resource.Version
 	// Control returns the dialer and addresses of the control VMs.
 	Control() ControlDialer
 }
