Let the dispatchers keep the retry budget of the fleet

The budget was divided between the ingresses: each of 122 had two or three retries of a service in 10 s, and the failures that one ingress sees come in groups.

The dispatcher of each upstream has an equal part of the budget now, counts what arrives, and declines repeats beyond its part. Calls of repeated runs are reported with the next attempt.

Ruled out: a larger part for each ingress; a sum that holds in a mass failure leaves no room for it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/metrics"
 	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -43,6 +44,9 @@
 	// Failing is called when an upstream begins to fail its requests, and when it has recovered.
 	// It may be nil and must not block.
 	Failing func(id fleet.UpstreamID, failing bool)
+	// RetryLimits returns the limits of the retry budget of each upstream of a service. If nil, the
+	// dispatcher does not limit retries.
+	RetryLimits func(service string) retry.Limits
 	// Repeated is called when an upstream runs a request of a service that may have run before. It
 	// may be nil and must not block.
 	Repeated func(service string)
@@ -149,6 +153,7 @@
 	}
 	if u == nil {
 		u = newUpstream(a, &d.cfg.Protocol)
+		u.retryLimits = d.cfg.RetryLimits
 		d.upstreams[a.ID] = u
 		u.configure(d.ranksConfig, d.ranks)
 		d.log.Info("upstream joined", "upstream", a.ID, "service", a.Service, "addr", a.Addr, "slots", a.Slots)
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -56,12 +56,20 @@
 func (u *upstream) decline(now time.Time, head *wire.AttemptHead) outcome.Reason {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	reason := u.declineReason(now, head)
+	u.countRetries(now, head, reason == outcome.ReasonNone)
+	return reason
+}
+
+func (u *upstream) declineReason(now time.Time, head *wire.AttemptHead) outcome.Reason {
 	limited := u.queue.RateWait(now) > 0
 	switch {
 	case u.draining:
 		return outcome.ReasonDraining
 	case u.closed:
 		return outcome.ReasonUpstreamGone
+	case head.Repeat && !u.allowsRetry(now):
+		return outcome.ReasonRetryBudget
 	case head.Insist:
 		return outcome.ReasonNone
 	case u.failing(now) && !head.LastRun && !now.Before(u.nextProbe) && !limited:
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -158,11 +158,15 @@
 	})
 }
 
-// countResend counts a request that was sent once more towards the rate limit.
+// countResend counts a request that was sent once more towards the rate limit and the retry budget.
 func (u *upstream) countResend() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.queue.CountRun(time.Now())
+	now := time.Now()
+	u.queue.CountRun(now)
+	if u.retryLimits != nil {
+		u.retries.Charge(now)
+	}
 }
 
 // notice returns what the upstream says of itself, or nil if that is nothing. u.mu is held.
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -13,6 +13,7 @@
 	"github.com/godwithub/godwithub/health"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -60,6 +61,9 @@
 	rateTimer *time.Timer
 	// answered is set once the upstream has answered a request of this dispatcher.
 	answered bool
+	// retries is the retry budget; retryLimits returns its limits by service, or is nil without one.
+	retries     retry.Budget
+	retryLimits func(service string) retry.Limits
 	// slowFailureAt is when a request last failed later than earlySuccessDelay after it was sent.
 	slowFailureAt time.Time
 }
--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/retry"
 )
 
 // pipeDialer opens streams to the nodes of a testFleet, by their index.
@@ -42,6 +43,10 @@
 	nodes []*testNode
 	slots int
 	work  time.Duration
+	// idempotent says whether requests may run more than once.
+	idempotent bool
+	// retryRatio and retrySlack bound the retries of the fleet if they are above 0.
+	retryRatio, retrySlack float64
 }
 
 // testNode is a node with its upstream.
@@ -49,6 +54,8 @@
 	announcement announce.Announcement
 	// limit is named in all answers if it is above 0, in requests per second.
 	limit float64
+	// failing makes the upstream answer with status 500.
+	failing atomic.Bool
 	// leaving makes all answers say that the upstream leaves. It is not announced.
 	leaving atomic.Bool
 	process atomic.Pointer[testProcess]
@@ -74,9 +81,12 @@
 const headerIngress = "Test-Ingress"
 
 // newTestFleet starts a fleet whose upstreams have these limits; 0 stands for none. Each runs slots
-// requests at once, which take the time work each.
-func newTestFleet(t *testing.T, limits []float64, slots int, work time.Duration) *testFleet {
+// requests at once, which take the time work each. The options are applied before the start.
+func newTestFleet(t *testing.T, limits []float64, slots int, work time.Duration, options ...func(*testFleet)) *testFleet {
 	f := &testFleet{slots: slots, work: work}
+	for _, apply := range options {
+		apply(f)
+	}
 	for i, limit := range limits {
 		n := &testNode{limit: limit}
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(n, w, r) }))
@@ -96,7 +106,7 @@
 func (f *testFleet) start(i int) {
 	v := testView()
 	v.Self = fleet.Node{ID: fleet.NodeID(fmt.Sprint("n", i)), Region: "r", FailureDomain: "d"}
-	v.Config.Kinds["order"].DeadlineMs = 3000
+	v.Config.Kinds["order"].DeadlineMs, v.Config.Kinds["order"].Idempotent = 3000, f.idempotent
 	v.Upstreams = map[string][]board.Upstream{}
 	for j, n := range f.nodes {
 		u := board.Upstream{Node: fleet.NodeID(fmt.Sprint("n", j)), LinkAddr: fmt.Sprint(j), Region: "r", FailureDomain: "d"}
@@ -110,21 +120,34 @@
 		Configuration: func() *resource.Config { return v.Config },
 		Observe:       func(dispatch.Observation) {},
 		Gone:          func(fleet.UpstreamID) {},
+		RetryLimits:   f.retryLimits(),
 	})
 	p.dispatcher.Register(p.mux)
 	p.dispatcher.Announce(f.nodes[i].announcement)
-	p.ingress = New(Config{Log: logging.Discard(), View: func() *board.View { return v }, Dialer: pipeDialer{f}})
+	p.ingress = New(Config{Log: logging.Discard(), View: func() *board.View { return v }, Dialer: pipeDialer{f}, DispatchersLimitRetries: f.retryRatio > 0})
 	if old := f.nodes[i].process.Swap(p); old != nil {
 		// What waits in the queue of an ended process does not run.
 		old.dispatcher.Withdraw(f.nodes[i].announcement.ID)
 	}
 }
 
+// retryLimits returns the share of an upstream in the retry budget, or nil without one.
+func (f *testFleet) retryLimits() func(string) retry.Limits {
+	if f.retryRatio == 0 {
+		return nil
+	}
+	return func(string) retry.Limits { return retry.FleetLimits(f.retryRatio, f.retrySlack, len(f.nodes)) }
+}
+
 // serve is the handler of a node's upstream.
 func (f *testFleet) serve(n *testNode, w http.ResponseWriter, r *http.Request) {
 	n.mu.Lock()
 	n.arrivals = append(n.arrivals, arrival{time.Now(), r.Header.Get(headerIngress)})
 	n.mu.Unlock()
+	if n.failing.Load() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	time.Sleep(f.work)
 	if n.leaving.Load() {
 		w.Header().Set(dispatch.HeaderLeaving, "1")
@@ -163,6 +186,11 @@
 // load sends requests at a rate per second to one ingress after the other, and returns what their
 // callers got.
 func (f *testFleet) load(perSecond int, length time.Duration) []callerResult {
+	return f.loadFrom(len(f.nodes), perSecond, length)
+}
+
+// loadFrom sends the requests to the first ingresses only.
+func (f *testFleet) loadFrom(ingresses, perSecond int, length time.Duration) []callerResult {
 	results := make(chan callerResult, int(length.Seconds()+1)*perSecond)
 	var callers sync.WaitGroup
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
@@ -170,7 +198,7 @@
 	for i, end := 0, time.Now().Add(length); time.Now().Before(end); i++ {
 		<-ticker.C
 		callers.Go(func() {
-			n := i % len(f.nodes)
+			n := i % ingresses
 			r := httptest.NewRequest(http.MethodPost, "http://shop.example/orders", strings.NewReader("order"))
 			r.Header.Set(headerIngress, fmt.Sprint(n))
 			w := httptest.NewRecorder()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -21,7 +21,6 @@
 	"github.com/godwithub/godwithub/metrics"
 	"github.com/godwithub/godwithub/reqbody"
 	"github.com/godwithub/godwithub/resource"
-	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -47,9 +46,9 @@
 	// Origin is the service that runs on this VM. Upstreams are told it as the origin of a request.
 	// If empty, they are told none.
 	Origin string
-	// RetryLimits returns the limits of the retry budget of each service. If nil, the defaults of
-	// package retry apply.
-	RetryLimits func() retry.Limits
+	// DispatchersLimitRetries says that the dispatchers keep a retry budget for the fleet; see
+	// dispatch.Config. Otherwise the ingress keeps one of its own for each service.
+	DispatchersLimitRetries bool
 	// ConfirmConfig returns the version of the newest configuration, which View shows soon after. It is
 	// called before a request is refused for want of a route or kind. If nil, the request is refused
 	// at once.
@@ -73,7 +72,7 @@
 	bodies      *reqbody.Budget
 
 	mu      sync.Mutex
-	budgets map[string]*lockedBudget
+	retries map[string]*serviceRetries
 	limits  map[string]*callerLimit
 
 	started  time.Time
@@ -93,11 +92,6 @@
 	latency metrics.Latencies
 }
 
-type lockedBudget struct {
-	mu     sync.Mutex
-	budget retry.Budget
-}
-
 type callerLimit struct {
 	limiter *rate.Limiter
 	rate    float64
@@ -120,61 +114,11 @@
 		crossRegion: newCrossRegionTable(),
 		trace:       newTraceLog(),
 		bodies:      reqbody.NewBudget(heldBodyBytes),
-		budgets:     map[string]*lockedBudget{},
+		retries:     map[string]*serviceRetries{},
 		limits:      map[string]*callerLimit{},
 	}
 }
 
-// budget returns the retry budget of a service.
-func (in *Ingress) budget(service string) *lockedBudget {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	b := in.budgets[service]
-	if b == nil {
-		b = &lockedBudget{}
-		in.budgets[service] = b
-	}
-	return b
-}
-
-// recordFirstAttempt records a first attempt, after updating the limits of the budget if limits is
-// not nil.
-func (b *lockedBudget) recordFirstAttempt(now time.Time, limits func() retry.Limits) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if limits != nil {
-		b.budget.Limits = limits()
-	}
-	b.budget.RecordFirstAttempt(now)
-}
-
-// ChargeRepeatedCalls is called when an upstream on this VM runs a request of service that may have
-// run before. The calls which that run makes to other services go through this ingress and are
-// repeats as well. It is not known which services they go to, so one retry is charged to the budget
-// of every other service.
-func (in *Ingress) ChargeRepeatedCalls(service string) {
-	now := time.Now()
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	for name, b := range in.budgets {
-		if name != service {
-			b.charge(now)
-		}
-	}
-}
-
-func (b *lockedBudget) wouldAllow(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget.WouldAllow(now)
-}
-
-func (b *lockedBudget) charge(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget.Charge(now)
-}
-
 // maxCallerLimits bounds the number of rate limiters. When it is reached, all limiters are dropped
 // and callers start with a full burst again.
 const maxCallerLimits = 100_000
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -33,14 +33,18 @@
 	if e.Outcome != outcome.NotRun {
 		h.runs++
 	}
+	h.arrived = h.arrived || e.Outcome != outcome.NotRun || e.Reason == outcome.ReasonUpstreamShed
+	if e.Reason == outcome.ReasonRetryBudget {
+		h.budgetDeclines++
+	}
 	h.queueLong = h.queueLong || e == outcome.HasNotRun(outcome.ReasonQueueLong)
 	if !e.Declined() {
 		h.tried = append(h.tried, u.ID)
 		return
 	}
 	h.declined = append(h.declined, u.ID)
-	// The rate limit of one upstream says nothing about the others of its region.
-	if u.Region != h.view.Self.Region && e.Reason != outcome.ReasonLimited {
+	// A limit of one upstream says nothing about the others of its region.
+	if u.Region != h.view.Self.Region && (e.Reason == outcome.ReasonBusy || e.Reason == outcome.ReasonUnhealthy) {
 		h.in.crossRegion.recordDecline(h.rq.service.Name, time.Now())
 	}
 }
@@ -50,7 +54,7 @@
 
 // lastRun reports whether the next run is the last one that is allowed, even if it fails.
 func (h *requestHandler) lastRun(now time.Time) bool {
-	return !h.rq.kind.Idempotent || h.runs+1 >= h.maxRuns() || !h.in.budget(h.rq.service.Name).wouldAllow(now)
+	return !h.rq.kind.Idempotent || h.runs+1 >= h.maxRuns() || !h.in.retriesOf(h.rq.service.Name).wouldAllow(now)
 }
 
 // insists reports whether the next upstream has to take the attempt even if it is busy.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -85,6 +85,10 @@
 	// of capacity. Until then, the next attempt counts as a first attempt and not as a retry.
 	usedCapacity bool
 	runs         int // attempts that an upstream may have run
+	// arrived is set once an attempt may have arrived at an upstream, also if that refused it.
+	arrived bool
+	// budgetDeclines counts the attempts that were declined for want of a retry budget.
+	budgetDeclines int
 	// declined lists the upstreams that declined an attempt. Attempts that insist may go to them
 	// again.
 	declined []fleet.UpstreamID
@@ -101,8 +105,8 @@
 
 // run makes attempts until the outcome is final or no further attempt is allowed.
 func (h *requestHandler) run(ctx context.Context) outcome.Ended {
-	budget := h.in.budget(h.rq.service.Name)
-	budget.recordFirstAttempt(time.Now(), h.in.cfg.RetryLimits)
+	retries := h.in.retriesOf(h.rq.service.Name)
+	retries.recordFirstAttempt(time.Now())
 	last := outcome.HasNotRun(outcome.ReasonNoUpstream)
 	mayHaveRun := false
 	for {
@@ -118,7 +122,7 @@
 		if h.waitForHolder(ctx, e) {
 			continue
 		}
-		if !h.shouldRetry(budget, e) {
+		if !h.shouldRetry(retries, e) {
 			return last
 		}
 		if e.Outcome == outcome.Answered {
@@ -167,9 +171,14 @@
 }
 
 // shouldRetry reports whether another attempt follows one that ended with e. If so, it takes the
-// retry from the budget.
-func (h *requestHandler) shouldRetry(budget *lockedBudget, e outcome.Ended) bool {
-	if h.answer.begun || !h.rq.body.Replayable() {
+// retry from the budget, if the ingress keeps one.
+func (h *requestHandler) shouldRetry(retries *serviceRetries, e outcome.Ended) bool {
+	now := time.Now()
+	switch {
+	case h.answer.begun, !h.rq.body.Replayable():
+		return false
+	case h.budgetDeclines >= maxBudgetDeclines:
+		retries.pause(now)
 		return false
 	}
 	if e.Outcome == outcome.Answered {
@@ -179,10 +188,7 @@
 		// A server error in answer to an idempotent request is retried like a lost answer.
 		e = outcome.MayHaveRun(outcome.ReasonLostUpstream)
 	}
-	now := time.Now()
-	budget.mu.Lock()
-	defer budget.mu.Unlock()
-	return retry.Decide(now, &budget.budget, retry.RequestState{
+	return retries.allow(now, retry.RequestState{
 		Ended:      e,
 		Idempotent: h.rq.kind.Idempotent,
 		Attempts:   h.attempts,
@@ -190,7 +196,7 @@
 		Runs:       h.runs,
 		MaxRuns:    h.maxRuns(),
 		Deadline:   h.rq.deadline,
-	}) == retry.Allowed
+	})
 }
 
 // attempt chooses an upstream and makes one attempt. ok is false if there was no upstream to
@@ -216,6 +222,7 @@
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
 	a.head.Notice = h.in.loads.notice(u.ID)
+	a.head.Repeat, a.head.RepeatedCalls = h.arrived, h.in.retriesOf(h.rq.service.Name).takeRepeatedCalls()
 	a.head.Insist, a.head.MayHaveRun, a.head.LastRun = h.insists(), h.runs > 0, h.lastRun(now)
 	entry := h.in.loads.entry(u.ID)
 	entry.begin()
--- a/node/new.go
+++ b/node/new.go
@@ -105,6 +105,7 @@
 		Claims:        n.groups.client,
 		Protocol:      n.options.UpstreamProtocol,
 		Failing:       n.reportFailing,
+		RetryLimits:   n.retryLimits(),
 		Repeated:      func(service string) { n.ingress.ChargeRepeatedCalls(service) },
 	})
 	n.dispatcher.Register(n.mux)
@@ -125,7 +126,7 @@
 		LameDuck:       n.settings.LameDuck > 0,
 		ConfirmConfig:  func(ctx context.Context) resource.Version { return n.configSource.Confirm(ctx) },
 
-		RetryLimits: n.retryLimits(),
+		DispatchersLimitRetries: n.settings.RetryRatio > 0,
 	})
 }
 
@@ -135,14 +136,14 @@
 	go n.post(board.FailingChanged{ID: id, Failing: failing})
 }
 
-// retryLimits returns this node's share of the fleet's retry budget, or nil if the
-// settings state none.
-func (n *Node) retryLimits() func() retry.Limits {
+// retryLimits returns the share of one upstream in the fleet's retry budget for its service, or nil if
+// the settings state none.
+func (n *Node) retryLimits() func(service string) retry.Limits {
 	if n.settings.RetryRatio == 0 {
 		return nil
 	}
-	return func() retry.Limits {
-		return retry.FleetLimits(n.settings.RetryRatio, n.settings.RetrySlack, len(n.board.View().Nodes)+1)
+	return func(service string) retry.Limits {
+		return retry.FleetLimits(n.settings.RetryRatio, n.settings.RetrySlack, len(n.board.View().Upstreams[service]))
 	}
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -35,7 +35,7 @@
 	LinkTransport string `flag:"link-transport" usage:"transport between nodes" range:"tls or quic" validate:"oneof=tls quic"`
 	LinkConns     int    `flag:"link-conns" usage:"QUIC connections to each peer" range:"1 to 64" validate:"min=1,max=64"`
 
-	// RetryRatio and RetrySlack are the retry budget of the fleet, which its nodes share.
+	// RetryRatio and RetrySlack are the retry budget of the fleet, which the upstreams of a service share.
 	RetryRatio float64 `flag:"retry-ratio" usage:"retry budget of a service over the whole fleet: retries per request in 10 s; 0: each node has a fixed budget" range:"0 to 1" validate:"min=0,max=1"`
 	RetrySlack float64 `flag:"retry-slack" usage:"retries of a service over the whole fleet in 10 s, in addition to those of retry-ratio" validate:"min=0"`
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -63,6 +63,7 @@
 	ReasonBusy            Reason = "busy"              // no slot of the upstream is free
 	ReasonUnhealthy       Reason = "unhealthy"         // the upstream currently fails its work
 	ReasonLimited         Reason = "upstream-limit"    // the upstream gets as many requests as it accepts
+	ReasonRetryBudget     Reason = "retry-budget"      // the service has had as many retries as the fleet may make
 	ReasonUpstreamShed    Reason = "upstream-shed"     // the upstream refused the work before running it
 	ReasonFenced          Reason = "fenced"            // the idempotency key was fenced before it was claimed
 	ReasonClaimFailed     Reason = "claim-unavailable" // no quorum to claim the idempotency key
@@ -136,5 +137,12 @@
 // Declined reports whether a dispatcher declined the attempt because another upstream may
 // serve it better. The dispatcher accepts such an attempt if the ingress insists.
 func (e Ended) Declined() bool {
-	return e.Outcome == NotRun && (e.Reason == ReasonBusy || e.Reason == ReasonUnhealthy || e.Reason == ReasonLimited)
+	if e.Outcome != NotRun {
+		return false
+	}
+	switch e.Reason {
+	case ReasonBusy, ReasonUnhealthy, ReasonLimited, ReasonRetryBudget:
+		return true
+	}
+	return false
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -31,7 +31,7 @@
 	bucketLength = Window / bucketCount
 )
 
-// Limits bound the retries of one service at one ingress within Window.
+// Limits bound the retries of one Budget within Window.
 type Limits struct {
 	Ratio   float64 // retries per first attempt
 	Reserve float64 // retries in addition to Ratio
@@ -39,19 +39,19 @@
 
 const (
 	// ratioShare and slackShare are the fractions of the fleet's retry budget that
-	// ingresses spend. The rest is left for calls that repeated runs make after the
+	// requests spend. The rest is left for calls that repeated runs make after the
 	// retry budget of the called service is exhausted; see Budget.Charge.
 	ratioShare = 0.6
 	slackShare = 0.6
 )
 
-// FleetLimits returns the limits for each of the given number of ingresses, so that
-// together they stay within ratio retries per request plus slack retries in any Window.
-func FleetLimits(ratio, slack float64, ingresses int) Limits {
-	return Limits{Ratio: ratioShare * ratio, Reserve: slackShare * slack / float64(max(ingresses, 1))}
+// FleetLimits returns the limits of one budget of several, so that together they stay
+// within ratio retries per request plus slack retries in any Window.
+func FleetLimits(ratio, slack float64, budgets int) Limits {
+	return Limits{Ratio: ratioShare * ratio, Reserve: slackShare * slack / float64(max(budgets, 1))}
 }
 
-// Budget is the retry budget of one service at one ingress. It prevents retries from
+// Budget is the retry budget of one service at one ingress, or of one upstream. It prevents retries from
 // multiplying the load when most attempts fail. The zero value is ready to use. A Budget
 // is not safe for concurrent use.
 type Budget struct {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -111,6 +111,11 @@
 	// Notice is what the upstream has said of itself in the last answer that passed the ingress, if
 	// that still holds. A dispatcher that has restarted learns it from here.
 	Notice *UpstreamNotice `cbor:"23,keyasint,omitempty"`
+	// Repeat says that an earlier attempt at the request may have arrived at an upstream, so that this
+	// one counts towards the retry budget of the service. RepeatedCalls is the number of requests of
+	// the service that count as well, since repeated runs made them.
+	Repeat        bool `cbor:"24,keyasint,omitempty"`
+	RepeatedCalls int  `cbor:"25,keyasint,omitempty"`
 }
 
 // UpstreamNotice is what an upstream says of itself in its answers.
