Send what was written when a connection is closed after an exchange

Only a reset drops them now. TestCloseSendsWhatWasWritten fails on (connection reset while the peer reads) and passes with the change.

--- a/link/tlslink/reset_test.go
+++ b/link/tlslink/reset_test.go
@@ -64,3 +64,26 @@
 	}
 	t.Fatal("the buffers do not fill")
 }
+
+// Guards against the loss of the last frames of a complete exchange whose connection is not kept.
+func TestCloseSendsWhatWasWritten(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	d := NewDialer("", nil)
+	defer d.Close()
+	s, err := d.Open(t.Context(), ln.Addr().String())
+	assert.NilError(t, err)
+	peer, err := ln.Accept()
+	assert.NilError(t, err)
+	defer peer.Close()
+	const frames = 20
+	for range frames {
+		assert.NilError(t, s.WriteFrame(1, make([]byte, link.MaxPayload)))
+	}
+	d.Replace(ln.Addr().String())
+	assert.NilError(t, s.Close())
+	received, err := io.Copy(io.Discard, peer)
+	assert.NilError(t, err)
+	assert.Assert(t, received > frames*link.MaxPayload, "%d bytes arrive", received)
+}
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -87,20 +87,27 @@
 	return &conn{c, link.NewFrameReader(br), br, generation}
 }
 
-// abort closes the TCP connection without sending the TLS close_notify alert, since that write
-// could block if the peer no longer responds. Bytes that are not sent yet are dropped. Otherwise the
+// closeTCP closes the TCP connection without sending the TLS close_notify alert, since that write
+// could block if the peer no longer responds. What was written is still sent.
+func (c *conn) closeTCP() { c.tcp().Close() }
+
+// abort closes the connection like closeTCP, but drops the bytes that are not sent yet. Otherwise the
 // system would go on sending them, and they could arrive long after the stream was given up.
 func (c *conn) abort() {
-	nc := c.Conn
-	if tc, ok := nc.(*tls.Conn); ok {
-		nc = tc.NetConn()
-	}
+	nc := c.tcp()
 	if tcp, ok := nc.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
 	}
 	nc.Close()
 }
 
+func (c *conn) tcp() net.Conn {
+	if tc, ok := c.Conn.(*tls.Conn); ok {
+		return tc.NetConn()
+	}
+	return c.Conn
+}
+
 // NewDialer returns a dialer that connects from localIP, or from any address if localIP is empty.
 // If c is nil, it uses plain TCP.
 func NewDialer(localIP string, c *tls.Config) *Dialer {
@@ -225,7 +232,7 @@
 	defer d.mu.Unlock()
 	p := d.peers[addr]
 	if d.closed || p == nil || c.generation != p.generation {
-		c.abort()
+		c.closeTCP()
 		return
 	}
 	if !p.deliver(dialResult{conn: c}) {
@@ -237,7 +244,7 @@
 // again. d.mu must be held.
 func (d *Dialer) addIdle(p *peer, c *conn) {
 	if d.closed || c.generation != p.generation || len(p.idle) >= maxIdlePerPeer || d.idle >= maxIdleTotal {
-		c.abort()
+		c.closeTCP()
 		return
 	}
 	p.idle = append(p.idle, idleConn{c, time.Now()})
@@ -255,7 +262,7 @@
 	d.lastGeneration++
 	p.generation = d.lastGeneration
 	for _, idle := range p.idle {
-		idle.conn.abort()
+		idle.conn.closeTCP()
 	}
 	d.idle -= len(p.idle)
 	p.idle = nil
@@ -280,7 +287,7 @@
 	for addr, p := range d.peers {
 		n := 0
 		for n < len(p.idle) && p.idle[n].since.Before(limit) {
-			p.idle[n].conn.abort()
+			p.idle[n].conn.closeTCP()
 			n++
 		}
 		p.idle = slices.Delete(p.idle, 0, n)
@@ -302,7 +309,7 @@
 	close(d.stop)
 	for _, p := range d.peers {
 		for _, idle := range p.idle {
-			idle.conn.abort()
+			idle.conn.closeTCP()
 		}
 		d.idle -= len(p.idle)
 		p.idle = nil
