--- a/health/gray.go
+++ b/health/gray.go
@@ -28,8 +28,8 @@
 	// healthy and at a failing upstream.
 	grayHealthyFailureShare = 0.02
 	grayFailingFailureShare = 0.7
-	// GrayFailingThreshold is the probability from which an upstream counts as failing.
-	GrayFailingThreshold = 0.5
+	// grayFailingThreshold is the probability from which an upstream counts as failing.
+	grayFailingThreshold = 0.5
 	// grayDoubtfulThreshold is the probability from which an upstream may be doubtful.
 	grayDoubtfulThreshold = 0.03
 	// grayDoubtfulWindow is how long an upstream may be doubtful after a failure.
@@ -52,15 +52,15 @@
 }
 
 // Failing reports whether the upstream counts as failing at now.
-func (g *Gray) Failing(now time.Time) bool { return g.FailureProbability(now) >= GrayFailingThreshold }
+func (g *Gray) Failing(now time.Time) bool { return g.FailureProbability(now) >= grayFailingThreshold }
 
 // FailingUntil returns when an upstream that counts as failing no longer does without further
 // evidence. It returns the time of the last evidence if the upstream did not count as failing then.
 func (g *Gray) FailingUntil() time.Time {
-	if g.probability <= GrayFailingThreshold {
+	if g.probability <= grayFailingThreshold {
 		return g.updatedAt
 	}
-	decays := math.Log((g.probability - grayPrior) / (GrayFailingThreshold - grayPrior))
+	decays := math.Log((g.probability - grayPrior) / (grayFailingThreshold - grayPrior))
 	return g.updatedAt.Add(time.Duration(decays / (grayOnsetRate + grayRecoveryRate) * float64(time.Second)))
 }
 
--- a/health/gray_test.go
+++ b/health/gray_test.go
@@ -12,7 +12,7 @@
 func TestGrayFollowsFailures(t *testing.T) {
 	var g Gray
 	now := time.Unix(1000, 0)
-	assert.Assert(t, g.FailureProbability(now) < GrayFailingThreshold)
+	assert.Assert(t, g.FailureProbability(now) < grayFailingThreshold)
 	for range 20 {
 		g.Observe(now, false)
 	}
@@ -21,14 +21,14 @@
 	// An upstream that was healthy a second ago.
 	now = now.Add(time.Second)
 	g.Observe(now, true)
-	assert.Assert(t, g.FailureProbability(now) > GrayFailingThreshold)
-	assert.Assert(t, g.FailureProbability(now.Add(3*time.Second)) > GrayFailingThreshold, "failing phases last some seconds")
-	assert.Assert(t, g.FailureProbability(now.Add(20*time.Second)) < GrayFailingThreshold)
+	assert.Assert(t, g.FailureProbability(now) > grayFailingThreshold)
+	assert.Assert(t, g.FailureProbability(now.Add(3*time.Second)) > grayFailingThreshold, "failing phases last some seconds")
+	assert.Assert(t, g.FailureProbability(now.Add(20*time.Second)) < grayFailingThreshold)
 	g.Observe(now, true)
 	for range 4 {
 		g.Observe(now, false)
 	}
-	assert.Assert(t, g.FailureProbability(now) < GrayFailingThreshold)
+	assert.Assert(t, g.FailureProbability(now) < grayFailingThreshold)
 	assert.Assert(t, g.Doubtful(now))
 	for range 8 {
 		g.Observe(now, false)
