--- a/review/drive/fleet.go
+++ b/review/drive/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -68,7 +69,7 @@
 
 // newFleet returns a fleet without processes. It fails if the build of the deploy file is missing.
 func newFleet(rec *record, controls, nodes int) (*fleet, error) {
-	program, err := filepath.Abs("../target/godwithub-platform")
+	program, err := filepath.Abs(cmp.Or(os.Getenv("REVIEW_PROGRAM"), "../target/godwithub-platform"))
 	if err != nil {
 		return nil, err
 	}
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
 	"endless":  endlessBodies,
 	"founding": foundingSeedLost,
+	"foreign":  foreignCheckIn,
 	"late":     lateCheckIn,
 }
 
