--- a/review/drive/case_founding.go
+++ b/review/drive/case_founding.go
@@ -46,6 +46,9 @@
 	took := time.Since(began)
 	if !acknowledged {
 		rec.say("the first manifest got no ack in %.0f s, with all %d machines of the core running and connected", took.Seconds(), len(f.controls))
+		if !f.readBack(contact + time.Second) {
+			rec.say("the manifest does not come when it is read back for %.0f s", (contact + time.Second).Seconds())
+		}
 		serveSome(rec, f)
 		return true, nil
 	}
@@ -91,6 +94,21 @@
 	return nil
 }
 
+// readBack asks all control processes in turn for the manifest. It reports whether one answers.
+func (f *fleet) readBack(within time.Duration) bool {
+	end := time.Now().Add(within)
+	for i := 0; time.Now().Before(end); i++ {
+		m := f.controls[i%len(f.controls)]
+		status, _, err := callControl(m.addr(portControl), "config.read", nil, time.Second)
+		f.rec.add("operator", "config.read at %s: %d %v", m.name, status, err)
+		if status == 200 {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
 // serveSome sends requests for some seconds, to show that the fleet works.
 func serveSome(rec *record, f *fleet) error {
 	time.Sleep(contact)
