--- a/review/drive/case_endless.go
+++ b/review/drive/case_endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,10 @@
 	endlessNodes    = 8
 	endlessPerS     = 6 // requests per second and node
 	// endlessFaultS is how long a worker fails some of its requests, several seconds, and endlessPauseS
-	// the time until another one does.
+	// the time until another one does. failedShare is the share of its GET requests that it fails, as on
+	// the site (srv_grey, x).
 	endlessFaultS = 6
+	failedShare   = 0.45
 	endlessPauseS = 3
 	endlessRounds = 6
 	// linkBytesPerS is what the link of the faulty worker's machine carries: 1,000 Mbit/s.
@@ -36,7 +39,7 @@
 	faulty := make([]atomic.Bool, len(workers))
 	for i, w := range workers {
 		w.fault = func(rw http.ResponseWriter, r *http.Request) bool {
-			if !faulty[i].Load() || r.Method != "GET" {
+			if !faulty[i].Load() || r.Method != "GET" || rand.Float64() >= failedShare {
 				return false
 			}
 			return w.answerWithoutEnd(rw)
--- a/review/drive/case_founding.go
+++ b/review/drive/case_founding.go
@@ -17,10 +17,10 @@
 	// seedBackAfter is when it is back at its old address, with a blank disk.
 	seedBackAfter = 2 * time.Second
 	// stableAfter is how long after its return the machine counts as lost (catch_up_s), and the core as
-	// not stable (contact_ms); ackMs is how long an order may then wait for its ack.
+	// not stable (contact_ms); ackWithin is how long an order may then wait for its ack.
 	stableAfter = 4 * time.Second
-	ackMs       = 4 * time.Second
-	// waitedFor is how long the operator goes on sending the first manifest. It is many times ackMs, so
+	ackWithin   = 4 * time.Second
+	// waitedFor is how long the operator goes on sending the first manifest. It is many times ackWithin, so
 	// that the case is not about slowness.
 	waitedFor = 60 * time.Second
 )
@@ -53,7 +53,7 @@
 		return true, nil
 	}
 	rec.say("the first manifest was acknowledged after %.1f s", took.Seconds())
-	return took > ackMs, serveSome(rec, f)
+	return took > ackWithin, serveSome(rec, f)
 }
 
 // startSpread starts the machines within 0.3 s, the first seed last. If trouble is set, the second seed
--- a/review/drive/fleet.go
+++ b/review/drive/fleet.go
@@ -225,17 +225,6 @@
 	<-m.ended()
 }
 
-// terminate sends SIGTERM, and SIGKILL after the grace time. It returns when the process is gone.
-func (m *machine) terminate(grace time.Duration) {
-	m.signal(syscall.SIGTERM)
-	select {
-	case <-m.ended():
-	case <-time.After(grace):
-		m.kill()
-	}
-	m.fleet.rec.add("platform", "%s has ended", m.name)
-}
-
 func (m *machine) ended() chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/review/drive/record.go
+++ b/review/drive/record.go
@@ -37,9 +37,6 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// at returns a time as seconds since the start.
-func (r *record) at(t time.Time) float64 { return t.Sub(r.start).Seconds() }
-
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
