--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -170,21 +170,30 @@
 		Headers:   EndToEnd(resp.Header),
 		BodyBytes: resp.ContentLength,
 	})
+	result := resultOf(resp.StatusCode)
 	if err := copyBody(w, resp.Body); err != nil {
-		e, result := classify(ctx, err, true)
+		e, interrupted := classify(ctx, err, true)
 		if e.Reason == outcome.ReasonLostUpstream {
 			e.Reason = outcome.ReasonShortAnswer
 		}
+		if result == ResultOK || interrupted == ResultBroken {
+			result = interrupted
+		}
 		return e, result
 	}
+	return outcome.Ended{Outcome: outcome.Answered}, result
+}
+
+// resultOf returns the result of an exchange that was answered with a status.
+func resultOf(status int) Result {
 	switch {
-	case resp.StatusCode == http.StatusGatewayTimeout:
+	case status == http.StatusGatewayTimeout:
 		// The upstream reports that the deadline has passed.
-		return outcome.Ended{Outcome: outcome.Answered}, ResultTimeout
-	case resp.StatusCode >= http.StatusInternalServerError:
-		return outcome.Ended{Outcome: outcome.Answered}, ResultError
+		return ResultTimeout
+	case status >= http.StatusInternalServerError:
+		return ResultError
 	}
-	return outcome.Ended{Outcome: outcome.Answered}, ResultOK
+	return ResultOK
 }
 
 // roundTrip sends the request and returns the head of its answer. If a kept connection turns out to be
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -11,6 +12,14 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
+// errorBodyTimeout is how long the body of a server error may take to arrive before another attempt is
+// made instead. Within a fleet it arrives together with the head, even over a busy link.
+const errorBodyTimeout = time.Second
+
+// errErrorBody means that the body of a server error was too long to be held back, or did not end in
+// time, and that another attempt is allowed.
+var errErrorBody = errors.New("ingress: the body of a server error is too long or does not end")
+
 // answer passes an upstream's answer on to the caller. A short answer is held back until it is
 // complete, so that the caller never sees part of an answer that failed. A longer one, or one of
 // unknown length, is passed on as it arrives.
@@ -19,9 +28,13 @@
 	// retryStatus is set if a server error may lead to another attempt. An answer with status 500
 	// or above is then held back.
 	retryStatus bool
+	// mayRetry reports whether another attempt is allowed at present. It is asked only if retryStatus
+	// is set.
+	mayRetry func() bool
 
 	head     *wire.AnswerHead
-	body     []byte
+	headAt   time.Time
+	body     []byte // at most maxBuffered bytes
 	received int64
 	// begun is set once part of the answer has been sent to the caller.
 	begun bool
@@ -67,12 +80,15 @@
 		case wire.FrameAnswer:
 			err = a.handleHead(f.Payload, rq)
 		case wire.FrameData:
-			err = a.handleData(f.Payload)
+			err = a.handleData(f.Payload, rq)
 		case wire.FrameAnswerEnd:
 			return a.handleEnd(f.Payload, rq)
 		default:
 			err = &wire.UnexpectedFrameError{Got: f.Type, Want: wire.FrameAnswer}
 		}
+		if err == nil {
+			err = a.checkErrorBody()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -97,7 +113,7 @@
 	if a.head != nil {
 		return fmt.Errorf("ingress: answer to request %s has a second head", rq.id)
 	}
-	a.head = head
+	a.head, a.headAt = head, time.Now()
 	if !a.shouldHold() {
 		a.writeHead(rq)
 	}
@@ -106,25 +122,46 @@
 
 // shouldHold reports whether the answer is held back until it is complete.
 func (a *answer) shouldHold() bool {
-	return a.head.BodyBytes >= 0 && a.head.BodyBytes <= maxBuffered ||
-		a.retryStatus && a.head.Status >= http.StatusInternalServerError
+	return a.head.BodyBytes >= 0 && a.head.BodyBytes <= maxBuffered || a.isRetriedError()
+}
+
+// isRetriedError reports whether the answer is a server error that may lead to another attempt.
+func (a *answer) isRetriedError() bool {
+	return a.retryStatus && a.head.Status >= http.StatusInternalServerError
 }
 
-func (a *answer) handleData(b []byte) error {
+func (a *answer) handleData(b []byte, rq *request) error {
 	if a.head == nil {
 		return &wire.UnexpectedFrameError{Got: wire.FrameData, Want: wire.FrameAnswer}
 	}
 	a.received += int64(len(b))
-	if !a.begun {
+	if !a.begun && len(a.body)+len(b) <= maxBuffered {
 		a.body = append(a.body, b...)
 		return nil
 	}
+	if !a.begun {
+		if a.isRetriedError() && a.mayRetry() {
+			return errErrorBody
+		}
+		if err := a.writeHeld(rq); err != nil {
+			return err
+		}
+	}
 	if _, err := a.w.Write(b); err != nil {
 		return err
 	}
 	return http.NewResponseController(a.w).Flush()
 }
 
+// checkErrorBody returns errErrorBody if another attempt is to replace a server error whose body does not
+// end in time.
+func (a *answer) checkErrorBody() error {
+	if a.head == nil || a.begun || !a.isRetriedError() || time.Since(a.headAt) < errorBodyTimeout || !a.mayRetry() {
+		return nil
+	}
+	return errErrorBody
+}
+
 func (a *answer) handleEnd(payload []byte, rq *request) (*wire.AnswerEnd, error) {
 	end := new(wire.AnswerEnd)
 	if err := wire.Decode(payload, end); err != nil {
@@ -150,15 +187,17 @@
 	a.w.WriteHeader(a.head.Status)
 }
 
-// writeHeld sends a complete answer that was held back to the caller.
-func (a *answer) writeHeld(rq *request) {
+// writeHeld sends what was held back of an answer to the caller.
+func (a *answer) writeHeld(rq *request) error {
 	if a.begun {
-		return
+		return nil
 	}
 	a.writeHead(rq)
-	if len(a.body) > 0 {
-		a.w.Write(a.body)
+	if len(a.body) == 0 {
+		return nil
 	}
+	_, err := a.w.Write(a.body)
+	return err
 }
 
 func setOutcome(h http.Header, id string, e outcome.Ended) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -82,6 +82,9 @@
 		if ctx.Err() != nil {
 			return a.interruptedOutcome(ctx), nil
 		}
+		if errors.Is(err, errErrorBody) {
+			return outcome.MayHaveRun(outcome.ReasonLongError), nil
+		}
 		a.in.log.Debug("route to dispatcher failed", "request", a.rq.id, "node", a.upstream.Node, "route", routeNames[r], "fault", err)
 		if a.answer.begun {
 			return outcome.MayHaveRun(outcome.ReasonShortAnswer), nil
--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -58,6 +58,8 @@
 	failing atomic.Bool
 	// leaving makes all answers say that the upstream leaves. It is not announced.
 	leaving atomic.Bool
+	// fault answers all requests if it is set.
+	fault   func(http.ResponseWriter)
 	process atomic.Pointer[testProcess]
 
 	mu       sync.Mutex
@@ -148,6 +150,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if n.fault != nil {
+		n.fault(w)
+		return
+	}
 	time.Sleep(f.work)
 	if n.leaving.Load() {
 		w.Header().Set(dispatch.HeaderLeaving, "1")
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -199,6 +199,14 @@
 	})
 }
 
+// mayRetry reports whether an idempotent request would probably get another attempt if the present one
+// failed now.
+func (h *requestHandler) mayRetry() bool {
+	now := time.Now()
+	return h.rq.body.Replayable() && h.attempts < retry.MaxAttempts && h.budgetDeclines < maxBudgetDeclines &&
+		now.Before(h.rq.deadline) && h.in.retriesOf(h.rq.service.Name).wouldAllow(now)
+}
+
 // attempt chooses an upstream and makes one attempt. ok is false if there was no upstream to
 // choose.
 func (h *requestHandler) attempt(ctx context.Context) (e outcome.Ended, ok bool) {
@@ -210,6 +218,7 @@
 	h.attempts++
 	h.in.stats.attempts.Add(1)
 	h.answer.retryStatus = h.rq.kind.Idempotent && h.runs+1 < h.maxRuns()
+	h.answer.mayRetry = h.mayRetry
 	a := &attempt{
 		in:       h.in,
 		rq:       h.rq,
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -78,6 +78,7 @@
 	ReasonLostUpstream   Reason = "lost-upstream"   // the connection to the upstream broke after sending
 	ReasonLostDispatcher Reason = "lost-dispatcher" // the link to the dispatcher broke after it had acknowledged the attempt
 	ReasonShortAnswer    Reason = "short-answer"    // the answer is shorter than its announced length
+	ReasonLongError      Reason = "long-error"      // a server error whose body is too long or does not end was dropped for another attempt
 	ReasonLateAnswer     Reason = "late-answer"     // no answer by the deadline
 	ReasonHeldByOther    Reason = "held-by-other"   // another attempt holds the idempotency key
 	ReasonAnswerGone     Reason = "answer-gone"     // the request has run, but its answer was not stored
