--- /dev/null
+++ b/ingress/endless_test.go
@@ -0,0 +1,132 @@
+package ingress
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// writeUntilClosed writes pieces with pauses between them until the reader closes the connection.
+func writeUntilClosed(w http.ResponseWriter, piece []byte, pause time.Duration) {
+	for {
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+		http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+	}
+}
+
+// peakHeap calls f and returns the largest growth of the heap meanwhile, in bytes.
+func peakHeap(f func()) uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	start, peak := m.HeapAlloc, m.HeapAlloc
+	done := make(chan struct{})
+	go func() { defer close(done); f() }()
+	for {
+		select {
+		case <-done:
+			return peak - start
+		case <-time.After(10 * time.Millisecond):
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapAlloc)
+		}
+	}
+}
+
+// Guards against server errors whose body does not end, which fill the memory of the node that holds them
+// back, and keep their requests from being retried.
+func TestEndlessServerErrorsAreRetried(t *testing.T) {
+	const requests, maxHeap = 40, 64 << 20
+	for name, write := range map[string]func(http.ResponseWriter){
+		"as fast as read": func(w http.ResponseWriter) { writeUntilClosed(w, make([]byte, 64<<10), 0) },
+		"with a length": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", strconv.Itoa(1<<40))
+			writeUntilClosed(w, make([]byte, 64<<10), 0)
+		},
+		"one byte a time": func(w http.ResponseWriter) { writeUntilClosed(w, []byte("x"), 20*time.Millisecond) },
+		"in a small body": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "1000")
+			writeUntilClosed(w, []byte("x"), 20*time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, make([]float64, 8), 20, 10*time.Millisecond, func(f *testFleet) {
+				f.idempotent, f.retryRatio, f.retrySlack = true, 1, 1000
+			})
+			for _, n := range f.nodes[:2] {
+				n.fault = func(w http.ResponseWriter) {
+					w.WriteHeader(http.StatusInternalServerError)
+					write(w)
+				}
+			}
+			var results []callerResult
+			heap := peakHeap(func() { results = f.load(requests, time.Second) })
+			assert.Check(t, heap < maxHeap, "the heap grew by %d MB", heap>>20)
+			n, slowest := answered(results)
+			assert.Equal(t, n, len(results), "slowest %v", slowest)
+		})
+	}
+}
+
+// Guards against a long server error that is cut or replaced although no other attempt is allowed.
+func TestLongServerErrorIsDelivered(t *testing.T) {
+	body := strings.Repeat("reason ", 50_000)
+	for name, idempotent := range map[string]bool{"not idempotent": false, "no retry left": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, make([]float64, 2), 5, 0, func(f *testFleet) { f.idempotent = idempotent })
+			for _, n := range f.nodes {
+				n.fault = func(w http.ResponseWriter) {
+					w.WriteHeader(http.StatusInternalServerError)
+					w.Write([]byte(body))
+				}
+			}
+			in := f.nodes[0].process.Load().ingress
+			if idempotent {
+				useRetryBudget(in)
+			}
+			w := httptest.NewRecorder()
+			in.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://shop.example/orders", nil))
+			assert.Equal(t, w.Code, http.StatusInternalServerError)
+			assert.Assert(t, w.Body.String() == body, "%d of %d bytes", w.Body.Len(), len(body))
+		})
+	}
+}
+
+// useRetryBudget uses up the retry budget of the test service.
+func useRetryBudget(in *Ingress) {
+	for r := in.retriesOf("shop"); r.wouldAllow(time.Now()); {
+		r.budget.Allow(time.Now())
+	}
+}
+
+// Guards against an upstream whose server errors do not end and that still counts as sound.
+func TestEndlessServerErrorIsEvidence(t *testing.T) {
+	f := newTestFleet(t, make([]float64, 2), 20, 0, func(f *testFleet) {
+		f.idempotent, f.retryRatio, f.retrySlack = true, 1, 1000
+	})
+	var mu sync.Mutex
+	hits := 0
+	f.nodes[0].fault = func(w http.ResponseWriter) {
+		mu.Lock()
+		hits++
+		mu.Unlock()
+		w.WriteHeader(http.StatusInternalServerError)
+		writeUntilClosed(w, make([]byte, 64<<10), 0)
+	}
+	results := f.load(100, time.Second)
+	n, _ := answered(results)
+	assert.Equal(t, n, len(results))
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Assert(t, hits <= len(results)/10, "%d of %d requests went to the failing upstream", hits, len(results))
+}
