Treat a head that fits no frame as a broken answer

An answer head of just under 64 KiB with many short fields takes more than a frame of 64 KiB between nodes. The dispatcher then reset the stream, and the ingress took the path to that node for broken: it relayed and avoided its upstreams until a ping had worked (TestLongHeadIsNoPathFailure, seen by a probe with heads of 62.7 KB: both nodes of two marked after one request). Found while looking for ways by which bytes without end reach a process; heads that HTTP itself refuses (over 64 KiB) ended well before.

The dispatcher checks the encoded head before anything of it is sent, and ends the attempt as a broken answer: evidence against the upstream, and another attempt for idempotent requests. The test fails before this change.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -49,20 +50,25 @@
 	return w.err
 }
 
-// writeHead buffers the answer head, which is sent with the first body frame or the end frame.
-func (w *answerWriter) writeHead(h *wire.AnswerHead) {
+// writeHead buffers the answer head, which is sent with the first body frame or the end frame. It returns
+// link.ErrFrameTooLarge for a head that does not fit a frame, of which nothing is sent or recorded.
+func (w *answerWriter) writeHead(h *wire.AnswerHead) error {
+	b, err := wire.Encode(h)
+	if err != nil {
+		return err
+	}
+	if len(b) > link.MaxPayload {
+		return fmt.Errorf("%w: answer head of %d bytes", link.ErrFrameTooLarge, len(b))
+	}
 	if w.attempt != nil {
 		w.attempt.keepHead(h)
 	}
-	b, err := wire.Encode(h)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err == nil {
-		w.err = err
-	}
 	if w.err == nil {
 		w.err = w.stream.BufferFrame(wire.FrameAnswer, b)
 	}
+	return nil
 }
 
 // writeBody sends a part of the body.
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -147,7 +147,10 @@
 }
 
 // writeRecord writes the recorded answer of an earlier run.
-func (w *answerWriter) writeRecord(r *idempotency.Record) {
-	w.writeHead(&wire.AnswerHead{RequestID: w.requestID, Status: r.Status, Headers: r.Headers, BodyBytes: int64(len(r.Body))})
-	w.writeLastBody(r.Body)
+func (w *answerWriter) writeRecord(r *idempotency.Record) error {
+	err := w.writeHead(&wire.AnswerHead{RequestID: w.requestID, Status: r.Status, Headers: r.Headers, BodyBytes: int64(len(r.Body))})
+	if err == nil {
+		w.writeLastBody(r.Body)
+	}
+	return err
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -48,8 +48,8 @@
 	}
 	if record, e, ok := c.wait(a.ctx); !ok {
 		u.release(ticket, 0)
-		if record != nil {
-			w.writeRecord(record)
+		if record != nil && w.writeRecord(record) != nil {
+			e = outcome.MayHaveRun(outcome.ReasonAnswerGone)
 		}
 		return newAnswerEnd(u, e)
 	}
@@ -164,12 +164,16 @@
 	if refusal == RefusedFull {
 		return outcome.HasNotRun(outcome.ReasonUpstreamShed), ResultRefused
 	}
-	w.writeHead(&wire.AnswerHead{
+	err = w.writeHead(&wire.AnswerHead{
 		RequestID: head.RequestID,
 		Status:    resp.StatusCode,
 		Headers:   EndToEnd(resp.Header),
 		BodyBytes: resp.ContentLength,
 	})
+	if err != nil {
+		d.logUnusable(u, head, err)
+		return outcome.MayHaveRun(outcome.ReasonLostUpstream), ResultBroken
+	}
 	result := resultOf(resp.StatusCode)
 	if err := copyBody(w, resp.Body); err != nil {
 		e, interrupted := classify(ctx, err, true)
@@ -222,11 +226,15 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		d.withdrawGone(u)
 	case errors.Is(err, httpconn.ErrForeignAnswer), errors.Is(err, httpconn.ErrHeadTooLarge):
-		d.log.Error("unusable answer from an upstream", "upstream", u.id, "request", head.RequestID, "fault", err)
+		d.logUnusable(u, head, err)
 	}
 	return nil, err
 }
 
+func (d *Dispatcher) logUnusable(u *upstream, head *wire.AttemptHead, err error) {
+	d.log.Error("unusable answer from an upstream", "upstream", u.id, "request", head.RequestID, "fault", err)
+}
+
 // classify returns the outcome and the result of an exchange that failed with err. sent says that
 // there was a connection, so the upstream may have received the request.
 func classify(ctx context.Context, err error, sent bool) (outcome.Ended, Result) {
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -167,10 +167,9 @@
 	answerHead, body, kept := a.answer()
 	switch {
 	case end.Outcome != outcome.Answered:
-	case !kept:
+	case !kept, w.writeHead(answerHead) != nil:
 		end = wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerGone}
 	default:
-		w.writeHead(answerHead)
 		w.writeBody(body)
 	}
 	w.finish(end, noneUnread)
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/dispatch/httpconn"
 )
 
 // writeUntilClosed writes pieces with pauses between them until the reader closes the connection.
@@ -130,3 +132,22 @@
 	defer mu.Unlock()
 	assert.Assert(t, hits <= len(results)/10, "%d of %d requests went to the failing upstream", hits, len(results))
 }
+
+// Guards against a long head of an answer, which fits the limit of HTTP but not a frame between nodes, and
+// makes the path to the node of its upstream count as failed.
+func TestLongHeadIsNoPathFailure(t *testing.T) {
+	f := newTestFleet(t, make([]float64, 2), 5, 0, func(f *testFleet) { f.idempotent = true })
+	f.nodes[0].fault = func(w http.ResponseWriter) {
+		// A short field takes more bytes in a frame than in HTTP.
+		for range httpconn.MaxHeadBytes/len("A: bc\r\n") - 100 {
+			w.Header().Add("A", "bc")
+		}
+	}
+	in := f.nodes[0].process.Load().ingress
+	for range 4 {
+		w := httptest.NewRecorder()
+		in.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://shop.example/orders", nil))
+		assert.Equal(t, w.Code, http.StatusOK)
+	}
+	assert.Assert(t, !in.paths.hasFailed("n0"))
+}
