Bound the writes of answers to an ingress that does not read

Ruled out as a mend: a limit on each write. A caller that reads slowly may hold up its ingress for long, and the answer is still wanted.

A write that is blocked a second beyond the deadline of its attempt now resets the stream: no ingress waits any longer. If the attempt is resent meanwhile, a write that has been blocked for the silence timeout does so at once, so that the resend gets the recorded answer.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -3,17 +3,26 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/wire"
 )
 
+// writeGrace is how long after the deadline of its attempt a write to a stream may still be blocked. An
+// ingress that has not read by then has given the attempt up, or is out of reach.
+const writeGrace = time.Second
+
 // answerWriter writes an answer to a stream and records it in the attempt, for resends. After the
-// first write error it only records.
+// first write error it only records. A write that is blocked beyond the deadline fails.
 type answerWriter struct {
 	attempt   *attempt // nil: the answer is not recorded
 	requestID string
+	// limit resets the stream after the deadline.
+	limit *time.Timer
+	// writingSince is when the present write began, in Unix nanoseconds; 0: none.
+	writingSince atomic.Int64
 
 	mu        sync.Mutex
 	stream    link.Stream
@@ -22,8 +31,26 @@
 	finished  bool
 }
 
-func newAnswerWriter(s link.Stream, a *attempt, head *wire.AttemptHead) *answerWriter {
-	return &answerWriter{stream: s, attempt: a, requestID: head.RequestID}
+func newAnswerWriter(s link.Stream, a *attempt, head *wire.AttemptHead, deadline time.Time) *answerWriter {
+	return &answerWriter{stream: s, attempt: a, requestID: head.RequestID, limit: time.AfterFunc(time.Until(deadline)+writeGrace, s.Reset)}
+}
+
+// write calls f, which writes to the stream, unless an earlier write has failed. w.mu is held.
+func (w *answerWriter) write(f func(link.Stream) error) {
+	if w.err != nil {
+		return
+	}
+	w.writingSince.Store(time.Now().UnixNano())
+	defer w.writingSince.Store(0)
+	w.err = f(w.stream)
+}
+
+// resetIfBlocked resets the stream if a write has been blocked for so long that the ingress has given the
+// stream up.
+func (w *answerWriter) resetIfBlocked() {
+	if since := w.writingSince.Load(); since != 0 && time.Since(time.Unix(0, since)) >= wire.SilenceTimeout {
+		w.stream.Reset()
+	}
 }
 
 // keepAlive repeats the acknowledgement until the attempt has finished, so that the ingress can
@@ -35,7 +62,7 @@
 		if w.finished || w.err != nil {
 			return
 		}
-		w.err = w.stream.WriteFrame(wire.FrameAck, nil)
+		w.write(func(s link.Stream) error { return s.WriteFrame(wire.FrameAck, nil) })
 		w.keepAlive()
 	})
 }
@@ -44,9 +71,7 @@
 func (w *answerWriter) writeContinue() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err == nil {
-		w.err = w.stream.WriteFrame(wire.FrameContinue, nil)
-	}
+	w.write(func(s link.Stream) error { return s.WriteFrame(wire.FrameContinue, nil) })
 	return w.err
 }
 
@@ -65,9 +90,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err == nil {
-		w.err = w.stream.BufferFrame(wire.FrameAnswer, b)
-	}
+	w.write(func(s link.Stream) error { return s.BufferFrame(wire.FrameAnswer, b) })
 	return nil
 }
 
@@ -78,9 +101,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err == nil {
-		w.err = wire.WriteChunks(w.stream, wire.FrameData, b)
-	}
+	w.write(func(s link.Stream) error { return wire.WriteChunks(s, wire.FrameData, b) })
 	w.bodyBytes += int64(len(b))
 }
 
@@ -96,9 +117,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err == nil {
-		w.err = w.stream.BufferFrame(wire.FrameData, b)
-	}
+	w.write(func(s link.Stream) error { return s.BufferFrame(wire.FrameData, b) })
 	w.bodyBytes += int64(len(b))
 }
 
@@ -114,9 +133,8 @@
 	w.finished = true
 	end.RequestID = w.requestID
 	end.BodyBytes = w.bodyBytes
-	if w.err == nil {
-		w.err = wire.Write(w.stream, wire.FrameAnswerEnd, &end)
-	}
+	w.write(func(s link.Stream) error { return wire.Write(s, wire.FrameAnswerEnd, &end) })
+	w.limit.Stop()
 	if w.err == nil && !unread() {
 		w.stream.Close()
 		return
--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -44,6 +44,7 @@
 	mu      sync.Mutex
 	streams int
 	started bool
+	writer  *answerWriter // of the stream that has started the attempt; nil: none
 	ended   bool
 	head    *wire.AnswerHead
 	body    []byte
@@ -53,17 +54,37 @@
 }
 
 // start reports whether the calling stream is the first that received the whole request, and
-// therefore has to run the attempt.
-func (a *attempt) start() bool {
+// therefore has to run the attempt and to write its answer to w.
+func (a *attempt) start(w *answerWriter) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.started || a.ended {
 		return false
 	}
-	a.started = true
+	a.started, a.writer = true, w
 	return true
 }
 
+// wait waits until the attempt has ended. Meanwhile it resets the stream of the attempt if that blocks
+// the writing of the answer: the ingress waits for the answer on another stream.
+func (a *attempt) wait() {
+	check := time.NewTicker(wire.AckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-a.done:
+			return
+		case <-check.C:
+		}
+		a.mu.Lock()
+		w := a.writer
+		a.mu.Unlock()
+		if w != nil {
+			w.resetIfBlocked()
+		}
+	}
+}
+
 func (a *attempt) keepHead(h *wire.AnswerHead) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/dispatch/registry_test.go
+++ b/dispatch/registry_test.go
@@ -20,7 +20,7 @@
 			return r.attach(id, time.Now().Add(time.Second), func(*attempt) {})
 		}
 		a, isNew := attach("a")
-		assert.Assert(t, isNew && a.start())
+		assert.Assert(t, isNew && a.start(nil))
 		a.keepHead(&wire.AnswerHead{Status: 200})
 		a.keepBody(make([]byte, 5000))
 		r.finish(a, wire.AnswerEnd{Outcome: outcome.Answered})
@@ -30,7 +30,7 @@
 		assert.Assert(t, !isNew && kept && len(body) == 5000, "a resend gets the answer")
 		time.Sleep(answerRetention)
 		again, isNew = attach("a")
-		assert.Assert(t, !isNew && !again.start(), "the attempt is still known")
+		assert.Assert(t, !isNew && !again.start(nil), "the attempt is still known")
 		_, body, kept = again.answer()
 		assert.Assert(t, !kept && body == nil && r.keptBytes == 0)
 		time.Sleep(attemptRetention)
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -53,11 +53,12 @@
 		s.Reset()
 		return
 	}
-	if !a.start() {
-		d.serveDuplicate(a, s, head)
+	w := newAnswerWriter(s, a, head, deadline)
+	if !a.start(w) {
+		w.limit.Stop()
+		d.serveDuplicate(a, s, head, deadline)
 		return
 	}
-	w := newAnswerWriter(s, a, head)
 	body.watch()
 	w.keepAlive()
 	end = d.run(a, head, body, w)
@@ -81,7 +82,7 @@
 			return
 		}
 	}
-	newAnswerWriter(s, nil, head).finish(end, noneUnread)
+	newAnswerWriter(s, nil, head, deadline).finish(end, noneUnread)
 }
 
 // refuseOtherIncarnation ends an attempt that an earlier incarnation of this dispatcher has
@@ -95,7 +96,7 @@
 		}
 	}
 	d.log.Info("attempt was acknowledged by an earlier incarnation of the dispatcher", "request", head.RequestID, "attempt", head.AttemptID)
-	w := newAnswerWriter(s, nil, head)
+	w := newAnswerWriter(s, nil, head, deadline)
 	w.finish(wire.AnswerEnd{Outcome: outcome.Unknown, Reason: outcome.ReasonLostDispatcher}, noneUnread)
 }
 
@@ -157,11 +158,11 @@
 }
 
 // serveDuplicate waits for an attempt that was started by another stream, and repeats its answer.
-func (d *Dispatcher) serveDuplicate(a *attempt, s link.Stream, head *wire.AttemptHead) {
-	w := newAnswerWriter(s, nil, head)
+func (d *Dispatcher) serveDuplicate(a *attempt, s link.Stream, head *wire.AttemptHead, deadline time.Time) {
+	w := newAnswerWriter(s, nil, head, deadline)
 	stop := d.watchStream(a, s)
 	w.keepAlive()
-	<-a.done
+	a.wait()
 	stop()
 	end := a.end
 	answerHead, body, kept := a.answer()
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -68,7 +68,7 @@
 func (a *answer) receive(s link.Stream, rq *request, sendBody func()) (*wire.AnswerEnd, error) {
 	a.reset()
 	for {
-		s.SetReadDeadline(time.Now().Add(silenceTimeout))
+		s.SetReadDeadline(time.Now().Add(wire.SilenceTimeout))
 		f, err := s.ReadFrame()
 		if err != nil {
 			return nil, timeoutAsSilence(err)
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -21,9 +21,6 @@
 	// dialTimeoutAcks is a tighter bound for a path with a measured round trip time, as a multiple
 	// of its acknowledgement timeout.
 	dialTimeoutAcks = 2
-	// silenceTimeout is how long a dispatcher may send nothing for an attempt. It repeats its
-	// acknowledgement every wire.AckInterval.
-	silenceTimeout = 5 * wire.AckInterval / 2
 	// maxBuffered is the largest answer body that is held back until it is complete, in bytes. As
 	// the caller has seen none of it, another attempt can still replace an incomplete answer.
 	maxBuffered = 64 << 10
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -64,6 +64,10 @@
 // progress.
 const AckInterval = 600 * time.Millisecond
 
+// SilenceTimeout is how long a dispatcher may send nothing for an attempt before its ingress gives the
+// stream up.
+const SilenceTimeout = 5 * AckInterval / 2
+
 // AttemptHead starts an attempt.
 type AttemptHead struct {
 	AttemptID string `cbor:"1,keyasint"` // unique to this attempt
