End a long answer that nobody waits for

A request that must not run twice is not canceled when its ingress leaves, so that its outcome becomes known. With an answer that does not end, the dispatcher went on reading at full speed until the deadline, with a slot and the processor of a small VM (TestEndlessAnswerEndsWithItsIngress: still written after 1 s of 5).

Once the stream has failed and the answer is longer than what is kept for a resend, the exchange ends: the outcome is then unknown, answer-gone, which is what a resend was told before. A shorter answer is still read to its end and kept. The test fails before.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -105,6 +105,15 @@
 	w.bodyBytes += int64(len(b))
 }
 
+// wanted reports whether anyone can still get the answer: its ingress, or a resend if all of it so far is
+// recorded.
+func (w *answerWriter) wanted() bool {
+	w.mu.Lock()
+	failed := w.err != nil
+	w.mu.Unlock()
+	return !failed || w.attempt != nil && w.attempt.keepsAnswer()
+}
+
 // writeLastBody buffers the last bytes of the body, so that they are sent in one packet with the
 // end frame.
 func (w *answerWriter) writeLastBody(b []byte) {
--- a/dispatch/blocked_test.go
+++ b/dispatch/blocked_test.go
@@ -85,3 +85,25 @@
 	assert.Equal(t, f.runs.Load(), int64(1))
 	assert.Assert(t, time.Since(began) < 2*wire.SilenceTimeout, "%v", time.Since(began))
 }
+
+// Guards against a slot and the processor time that an answer without an end takes until the deadline, after
+// the ingress of a request that must not run twice has left.
+func TestEndlessAnswerEndsWithItsIngress(t *testing.T) {
+	closed := make(chan struct{})
+	f := newFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		defer close(closed)
+		for piece := make([]byte, copyBufferSize); r.Context().Err() == nil; {
+			w.Write(piece)
+		}
+	})
+	s := begin(t, f, orderHead("a"))
+	assert.NilError(t, s.WriteFrame(wire.FrameEnd, nil))
+	_, err := s.ReadFrame()
+	assert.NilError(t, err)
+	s.Reset()
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the upstream still writes its answer")
+	}
+}
--- a/dispatch/registry.go
+++ b/dispatch/registry.go
@@ -104,6 +104,13 @@
 	a.body = append(a.body, b...)
 }
 
+// keepsAnswer reports whether the whole answer so far is recorded.
+func (a *attempt) keepsAnswer() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.bodyDropped
+}
+
 // answer returns the recorded answer of an ended attempt. kept is false if it was dropped.
 func (a *attempt) answer() (head *wire.AnswerHead, body []byte, kept bool) {
 	a.mu.Lock()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -175,17 +175,21 @@
 		return outcome.MayHaveRun(outcome.ReasonLostUpstream), ResultBroken
 	}
 	result := resultOf(resp.StatusCode)
-	if err := copyBody(w, resp.Body); err != nil {
-		e, interrupted := classify(ctx, err, true)
-		if e.Reason == outcome.ReasonLostUpstream {
-			e.Reason = outcome.ReasonShortAnswer
-		}
-		if result == ResultOK || interrupted == ResultBroken {
-			result = interrupted
-		}
-		return e, result
+	err = copyBody(w, resp.Body)
+	if err == nil {
+		return outcome.Ended{Outcome: outcome.Answered}, result
+	}
+	e, interrupted := classify(ctx, err, true)
+	switch {
+	case errors.Is(err, errNoReader):
+		e.Reason, interrupted = outcome.ReasonAnswerGone, ResultRefused
+	case e.Reason == outcome.ReasonLostUpstream:
+		e.Reason = outcome.ReasonShortAnswer
 	}
-	return outcome.Ended{Outcome: outcome.Answered}, result
+	if result == ResultOK || interrupted == ResultBroken {
+		result = interrupted
+	}
+	return e, result
 }
 
 // resultOf returns the result of an exchange that was answered with a status.
@@ -287,6 +291,9 @@
 	return req
 }
 
+// errNoReader means that an answer can neither be written to its ingress nor be kept for a resend.
+var errNoReader = errors.New("dispatch: the ingress has left during a long answer")
+
 // copyBody writes the body to w. The last bytes are buffered, to be sent with the end of the answer.
 func copyBody(w *answerWriter, body io.Reader) error {
 	buf := copyBuffers.Get().(*[copyBufferSize]byte)
@@ -304,5 +311,8 @@
 		}
 		w.writeBody(buf[:pending])
 		pending = 0
+		if !w.wanted() {
+			return errNoReader
+		}
 	}
 }
