Bound relays by silence and by the deadline of the attempt

A relay waited without any limit for the dispatcher and for the ingress.

The dispatcher repeats its acknowledgement, so a relay now gives up after the silence timeout, like an ingress; and it ends a second after the deadline that the head of the attempt names.

--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -36,6 +36,7 @@
 		return
 	}
 	r := &relay{ingress: s, dispatcher: out}
+	defer r.stopLimit()
 	requestCopied := make(chan struct{})
 	go func() {
 		defer close(requestCopied)
@@ -43,6 +44,10 @@
 	}()
 	end, err := r.copyAnswer()
 	r.answered.Store(err == nil)
+	if err != nil {
+		// Ends a write of the request that is blocked.
+		out.Reset()
+	}
 	if err == nil && r.bodyUnread() {
 		// The ingress resets the stream when it has read the outcome; see answerWriter.finish.
 		if err = s.WriteFrame(end.Type, end.Payload); err == nil {
@@ -71,6 +76,8 @@
 	ingress, dispatcher link.Stream
 	// answered is set once the whole answer has been read.
 	answered atomic.Bool
+	// limit resets both streams after the deadline of the attempt, once that is known.
+	limit atomic.Pointer[time.Timer]
 	// bodyAsked and bodyEnded are set once the dispatcher has asked for a streamed body, and once the
 	// end of a body has passed.
 	bodyAsked, bodyEnded atomic.Bool
@@ -79,9 +86,48 @@
 // bodyUnread reports whether the ingress may still be sending a streamed body.
 func (r *relay) bodyUnread() bool { return r.bodyAsked.Load() && !r.bodyEnded.Load() }
 
+// setLimit bounds the exchange by the deadline in the head of the attempt: an ingress that does not read
+// its answer would otherwise block the relay without end.
+func (r *relay) setLimit(payload []byte) error {
+	var head wire.AttemptHead
+	if err := decodeHead(payload, &head); err != nil {
+		return err
+	}
+	r.limit.Store(time.AfterFunc(head.Remaining()+writeGrace, func() {
+		r.ingress.Reset()
+		r.dispatcher.Reset()
+	}))
+	return nil
+}
+
+func (r *relay) stopLimit() {
+	if t := r.limit.Load(); t != nil {
+		t.Stop()
+	}
+}
+
+// copyHead copies the head of the attempt.
+func (r *relay) copyHead() error {
+	f, err := r.ingress.ReadFrame()
+	if err != nil {
+		return err
+	}
+	if f.Type != wire.FrameAttempt {
+		return &wire.UnexpectedFrameError{Got: f.Type, Want: wire.FrameAttempt}
+	}
+	if err := r.setLimit(f.Payload); err != nil {
+		return err
+	}
+	return r.dispatcher.WriteFrame(f.Type, f.Payload)
+}
+
 // copyRequest copies the request, and then waits until the ingress gives up or is not read any more.
 func (r *relay) copyRequest() {
-	end, err := copyFrames(r.ingress, r.dispatcher, wire.FrameEnd)
+	var end link.Frame
+	err := r.copyHead()
+	if err == nil {
+		end, err = copyFrames(r.ingress, r.dispatcher, wire.FrameEnd)
+	}
 	if err == nil {
 		r.bodyEnded.Store(true)
 		err = r.dispatcher.WriteFrame(end.Type, end.Payload)
@@ -97,6 +143,7 @@
 // copyAnswer copies the answer up to its end, which it returns without copying it.
 func (r *relay) copyAnswer() (link.Frame, error) {
 	for {
+		r.dispatcher.SetReadDeadline(time.Now().Add(wire.SilenceTimeout))
 		f, err := r.dispatcher.ReadFrame()
 		if err != nil || f.Type == wire.FrameAnswerEnd {
 			return f, err
