Bound the requests to a node's ports for announcements, health and metrics

Looking for ways by which bytes without end reach a process: these three servers had a limit on the time of a head only.

Heads have 8 KiB now, a whole request 5 s.

--- a/node/new.go
+++ b/node/new.go
@@ -157,15 +157,12 @@
 	if n.announceLn, err = net.Listen("tcp", n.settings.AnnounceAddr); err != nil {
 		return fmt.Errorf("node: announce address: %w", err)
 	}
-	n.announcements = &http.Server{
-		Handler:           n.options.Announcements(announcementSink{n}, partLogger(log, "announce")),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	n.announcements = newLocalServer(n.options.Announcements(announcementSink{n}, partLogger(log, "announce")))
 	if n.settings.ReadyAddr != "" {
 		if n.readyLn, err = net.Listen("tcp", n.settings.ReadyAddr); err != nil {
 			return fmt.Errorf("node: ready address: %w", err)
 		}
-		n.ready = &http.Server{Handler: http.HandlerFunc(n.serveHealth), ReadHeaderTimeout: headerTimeout}
+		n.ready = newLocalServer(http.HandlerFunc(n.serveHealth))
 	}
 	if n.settings.DebugAddr == "" {
 		return nil
@@ -173,6 +170,6 @@
 	if n.debugLn, err = net.Listen("tcp", n.settings.DebugAddr); err != nil {
 		return fmt.Errorf("node: debug address: %w", err)
 	}
-	n.debug = &http.Server{Handler: n.debugHandler(), ReadHeaderTimeout: headerTimeout}
+	n.debug = newLocalServer(n.debugHandler())
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -108,8 +108,12 @@
 	return tlslink.NewDialer(host, ring.Client(keys.RoleNode)), l, nil
 }
 
-// headerTimeout bounds the time to read the header of an HTTP request.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds the time to read the header of an HTTP request of a caller.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 2 * time.Minute
+)
 
 // newCallerServer returns the HTTP server for callers: HTTP/1.1, and HTTP/2 without TLS.
 func newCallerServer(h http.Handler, conns *httpdrain.Conns) *http.Server {
@@ -121,12 +125,30 @@
 		Protocols:         p,
 		MaxHeaderBytes:    ingress.MaxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       2 * time.Minute,
+		IdleTimeout:       idleTimeout,
 		ConnState:         conns.Track,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
 	}
 }
 
+const (
+	// localHeaderBytes and localRequestTimeout bound the requests to the ports for announcements, health and
+	// metrics, which are small.
+	localHeaderBytes    = 8 << 10
+	localRequestTimeout = 5 * time.Second
+)
+
+// newLocalServer returns an HTTP server for the upstreams and operators of this VM.
+func newLocalServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:        h,
+		MaxHeaderBytes: localHeaderBytes,
+		ReadTimeout:    localRequestTimeout,
+		IdleTimeout:    idleTimeout,
+		ErrorLog:       slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+}
+
 // announcementSink passes announcements to the dispatcher, so that it refuses requests for a
 // draining upstream at once, and to the board, which publishes them to the fleet.
 type announcementSink struct{ n *Node }
