Keep at other nodes what upstreams say about their end

Cause: the order of announcements was known to one process only. The log of the case shows 'upstream joined' in the millisecond of the late announcement and no request before it; ruled out are the old record at other nodes and attempts without an announcement. Ruled out as a mend: a second announcement after each restart, which takes an upstream out for a heartbeat longer and does not stop two late ones.

Departures are now part of the membership record of their node, with the start and sequence of the upstream, and outlive its process for two minutes. They are acknowledged once two members have them. A restarted node holds announcements back until it has recalled its departures from a member that knows others, for 2 s at most.

--- a/announce/order.go
+++ b/announce/order.go
@@ -1,6 +1,8 @@
 package announce
 
 import (
+	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -8,28 +10,66 @@
 	"github.com/godwithub/godwithub/fleet"
 )
 
-// retentionPeriod is how long an upstream is remembered after its last announcement or
-// withdrawal. Delayed announcements arrive within seconds of being sent.
-const retentionPeriod = 2 * time.Minute
+const (
+	// retentionPeriod is how long an upstream is remembered after its last announcement or
+	// withdrawal. Delayed announcements arrive within seconds of being sent.
+	retentionPeriod = 2 * time.Minute
+	// recallTimeout bounds the wait for what other nodes know of the upstreams of this VM. A node that
+	// reaches no other one serves its own callers after that.
+	recallTimeout = 2 * time.Second
+	// recordTimeout bounds the wait for other nodes to keep a departure. Upstreams wait for the
+	// acknowledgement of an announcement for about a second.
+	recordTimeout = 600 * time.Millisecond
+)
 
-// IncarnationSink receives announcements of upstreams that report when they started.
+// IncarnationSink receives announcements of upstreams that report when they started. An error means that the
+// announcement is not acknowledged, so that the upstream repeats it.
 type IncarnationSink interface {
-	Announce(Announcement)
+	Announce(Announcement) error
 	// Withdraw reports that an upstream is gone. startMs is as in Announcement; 0
 	// stands for the latest known incarnation, or for all that have started by now if
 	// none is known.
-	Withdraw(id fleet.UpstreamID, startMs int64)
+	Withdraw(id fleet.UpstreamID, startMs int64) error
+}
+
+// Departures keeps at other nodes what upstreams of this VM say about their end. This process would forget it
+// with a restart, and a delayed announcement would bring the upstream back.
+type Departures interface {
+	// RecordDeparture returns once other nodes keep d.
+	RecordDeparture(ctx context.Context, d fleet.Departure) error
+	// RecallDepartures calls f for each departure that other nodes have kept for an earlier process of this
+	// node. The returned channel is closed once the first ones have been passed to f.
+	RecallDepartures(f func(fleet.Departure)) <-chan struct{}
+}
+
+// NoDepartures is the Departures of a node without other nodes.
+type NoDepartures struct{}
+
+// RecordDeparture implements Departures.
+func (NoDepartures) RecordDeparture(context.Context, fleet.Departure) error { return nil }
+
+// RecallDepartures implements Departures.
+func (NoDepartures) RecallDepartures(func(fleet.Departure)) <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
 }
 
 // Ordered passes announcements on in the order in which upstreams made them. It drops an
 // announcement if a later one of the same upstream has arrived, if its incarnation has ended,
-// or if a later upstream uses its address. It is safe for concurrent use.
+// or if a later upstream uses its address. A departure is acknowledged once other nodes keep it, and
+// after a restart of this process nothing is passed on before it has been recalled. Ordered is safe for
+// concurrent use.
 type Ordered struct {
-	next Sink
-	log  *slog.Logger
+	next       Sink
+	departures Departures
+	log        *slog.Logger
 
 	mu    sync.Mutex
 	known map[fleet.UpstreamID]*incarnation
+	// waiting holds the latest announcement of each upstream until departures have been recalled. It is
+	// nil afterwards.
+	waiting map[fleet.UpstreamID]Announcement
 }
 
 // incarnation holds the latest announcement of one start of an upstream.
@@ -38,17 +78,109 @@
 	withdrawn bool
 	lastHeard time.Time
 	warmMs    int64 // as first announced by the incarnation
+	// recorded is the departure that other nodes keep.
+	recorded fleet.Departure
+}
+
+// departure returns what the upstream has said about its end. ok is false if it has said nothing.
+func (inc *incarnation) departure() (d fleet.Departure, ok bool) {
+	d = fleet.Departure{Upstream: inc.ID, StartMs: inc.StartMs, Sequence: inc.Sequence, Gone: inc.withdrawn}
+	return d, inc.Draining || inc.withdrawn
 }
 
 // NewOrdered returns an Ordered in front of next.
-func NewOrdered(next Sink, log *slog.Logger) *Ordered {
-	return &Ordered{next: next, log: log, known: map[fleet.UpstreamID]*incarnation{}}
+func NewOrdered(next Sink, departures Departures, log *slog.Logger) *Ordered {
+	o := &Ordered{
+		next: next, departures: departures, log: log,
+		known: map[fleet.UpstreamID]*incarnation{}, waiting: map[fleet.UpstreamID]Announcement{},
+	}
+	recalled := departures.RecallDepartures(o.recall)
+	select {
+	case <-recalled:
+		o.finishRecall()
+	default:
+		go o.awaitRecall(recalled)
+	}
+	return o
+}
+
+func (o *Ordered) awaitRecall(recalled <-chan struct{}) {
+	select {
+	case <-recalled:
+	case <-time.After(recallTimeout):
+		o.log.Warn("no other node was reached; announcements are accepted without recall")
+	}
+	o.finishRecall()
+}
+
+// finishRecall passes the waiting announcements on.
+func (o *Ordered) finishRecall() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	waiting := o.waiting
+	o.waiting = nil
+	for _, a := range waiting {
+		o.accept(a)
+	}
+}
+
+// recall applies a departure that another node has kept.
+func (o *Ordered) recall(d fleet.Departure) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	inc := o.known[d.Upstream]
+	if inc != nil {
+		now, _ := inc.departure()
+		if !d.Supersedes(now) {
+			return
+		}
+	}
+	o.log.Info("departure recalled", "upstream", d.Upstream, "born", d.StartMs, "sequence", d.Sequence, "gone", d.Gone)
+	next := &incarnation{
+		Announcement: Announcement{ID: d.Upstream, StartMs: d.StartMs, Sequence: d.Sequence, Draining: true},
+		withdrawn:    d.Gone, lastHeard: time.Now(), recorded: d,
+	}
+	o.known[d.Upstream] = next
+	if inc != nil && !inc.withdrawn {
+		o.next.Withdraw(d.Upstream)
+	}
 }
 
 // Announce implements IncarnationSink.
-func (o *Ordered) Announce(a Announcement) {
+func (o *Ordered) Announce(a Announcement) error {
+	if o.hold(a) {
+		return nil
+	}
+	o.mu.Lock()
+	o.accept(a)
+	o.mu.Unlock()
+	return o.record(a.ID)
+}
+
+// hold keeps an announcement until departures have been recalled. It reports false if it can be passed on: a
+// draining upstream gets no work, so its announcement does no harm.
+func (o *Ordered) hold(a Announcement) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.waiting == nil {
+		return false
+	}
+	held, ok := o.waiting[a.ID]
+	later := !ok || a.StartMs > held.StartMs || a.StartMs == held.StartMs && a.Sequence > held.Sequence
+	if a.Draining {
+		if later {
+			delete(o.waiting, a.ID)
+		}
+		return false
+	}
+	if later {
+		o.waiting[a.ID] = a
+	}
+	return true
+}
+
+// accept passes an announcement on unless it is outdated. o.mu is held.
+func (o *Ordered) accept(a Announcement) {
 	now := time.Now()
 	o.forgetOld(now)
 	if reason := o.outdatedReason(&a); reason != "" {
@@ -64,7 +196,7 @@
 		o.log.Info("upstream has restarted", "upstream", a.ID, "born", a.StartMs)
 		o.next.Withdraw(a.ID)
 	default:
-		inc.warmMs = old.warmMs
+		inc.warmMs, inc.recorded = old.warmMs, old.recorded
 	}
 	o.known[a.ID] = inc
 	// The cold start counts from the first announcement of an incarnation.
@@ -72,6 +204,34 @@
 	o.next.Announce(a)
 }
 
+// record makes other nodes keep what an upstream has said about its end, unless they do already. It returns
+// once they do.
+func (o *Ordered) record(id fleet.UpstreamID) error {
+	o.mu.Lock()
+	inc := o.known[id]
+	if inc == nil {
+		o.mu.Unlock()
+		return nil
+	}
+	d, ok := inc.departure()
+	recorded := inc.recorded
+	o.mu.Unlock()
+	// The first announcement that says so is enough.
+	if !ok || recorded.Upstream != "" && recorded.StartMs == d.StartMs && recorded.Gone == d.Gone {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	if err := o.departures.RecordDeparture(ctx, d); err != nil {
+		o.log.Warn("departure not acknowledged, as no other node keeps it", "upstream", id, "fault", err)
+		return fmt.Errorf("announce: no other node keeps the departure of %s: %w", id, err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	inc.recorded = d
+	return nil
+}
+
 // outdatedReason returns why an announcement is outdated, or "" if it is not. o.mu is held.
 func (o *Ordered) outdatedReason(a *Announcement) string {
 	if inc := o.known[a.ID]; inc != nil {
@@ -104,7 +264,12 @@
 }
 
 // Withdraw implements IncarnationSink.
-func (o *Ordered) Withdraw(id fleet.UpstreamID, startMs int64) {
+func (o *Ordered) Withdraw(id fleet.UpstreamID, startMs int64) error {
+	o.withdraw(id, startMs)
+	return o.record(id)
+}
+
+func (o *Ordered) withdraw(id fleet.UpstreamID, startMs int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	inc := o.known[id]
--- a/announce/order_test.go
+++ b/announce/order_test.go
@@ -1,7 +1,9 @@
 package announce
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -19,7 +21,7 @@
 // has begun to drain, or whose address is used by a later upstream.
 func TestOrderedDropsOldAnnouncements(t *testing.T) {
 	r := &sinkRecorder{}
-	o := NewOrdered(r, logging.Discard())
+	o := NewOrdered(r, NoDepartures{}, logging.Discard())
 	announce := func(id string, startMs int64, sequence uint64, addr string) {
 		o.Announce(Announcement{ID: fleet.UpstreamID(id), Addr: addr, StartMs: startMs, Sequence: sequence})
 	}
@@ -52,7 +54,7 @@
 // restart the cold start: the first announced length counts.
 func TestOrderedKeepsRenewals(t *testing.T) {
 	r := &sinkRecorder{}
-	o := NewOrdered(r, logging.Discard())
+	o := NewOrdered(r, NoDepartures{}, logging.Discard())
 	for sequence := range uint64(3) {
 		o.Announce(Announcement{ID: "a", Addr: "x", Sequence: sequence + 1, WarmMs: int64(300 - sequence)})
 	}
@@ -65,7 +67,7 @@
 func TestWithdrawalAfterRestartHolds(t *testing.T) {
 	for _, startMs := range []int64{0, 1000} {
 		r := &sinkRecorder{}
-		o := NewOrdered(r, logging.Discard())
+		o := NewOrdered(r, NoDepartures{}, logging.Discard())
 		o.Withdraw("a", startMs)
 		o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7})
 		assert.DeepEqual(t, r.calls, []string{"-a"})
@@ -73,3 +75,111 @@
 		assert.DeepEqual(t, r.calls, []string{"-a", "a"})
 	}
 }
+
+// fakeDepartures is the memory of the other nodes.
+type fakeDepartures struct {
+	kept     []fleet.Departure
+	recalled chan struct{}
+	fail     error
+}
+
+func (f *fakeDepartures) RecordDeparture(_ context.Context, d fleet.Departure) error {
+	if f.fail == nil {
+		f.kept = append(f.kept, d)
+	}
+	return f.fail
+}
+
+func (f *fakeDepartures) RecallDepartures(apply func(fleet.Departure)) <-chan struct{} {
+	for _, d := range f.kept {
+		apply(d)
+	}
+	return f.recalled
+}
+
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// Guards against an upstream that has left or drains and is in use again after a restart of its node, since an
+// announcement from before arrives late at the new process.
+func TestLateAnnouncementAfterRestartIsDropped(t *testing.T) {
+	for name, leave := range map[string]func(o *Ordered) error{
+		"gone":          func(o *Ordered) error { return o.Withdraw("a", 0) },
+		"gone, by name": func(o *Ordered) error { return o.Withdraw("a", 1000) },
+		"draining": func(o *Ordered) error {
+			return o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 9, Draining: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeDepartures{recalled: closedChannel()}
+			before := NewOrdered(&sinkRecorder{}, f, logging.Discard())
+			assert.NilError(t, before.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7}))
+			assert.NilError(t, leave(before))
+			r := &sinkRecorder{}
+			after := NewOrdered(r, f, logging.Discard())
+			late := Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 8}
+			assert.NilError(t, after.Announce(late))
+			assert.Equal(t, len(r.calls), 0)
+			// A later process of the upstream under the same ID is not held back.
+			assert.NilError(t, after.Announce(Announcement{ID: "a", Addr: "x", StartMs: 2000, Sequence: 1}))
+			assert.Equal(t, r.calls[len(r.calls)-1], "a")
+		})
+	}
+}
+
+// Guards against the same while the restarted node has not yet heard from others, and against upstreams that
+// stay out of use if it never does.
+func TestAnnouncementsWaitForRecall(t *testing.T) {
+	for name, reached := range map[string]bool{"reached": true, "alone": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeDepartures{recalled: make(chan struct{})}
+				r := &sinkRecorder{}
+				o := NewOrdered(r, f, logging.Discard())
+				assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 8}))
+				assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7}))
+				assert.NilError(t, o.Announce(Announcement{ID: "b", Addr: "y", StartMs: 1000, Sequence: 3}))
+				synctest.Wait()
+				assert.Equal(t, len(r.calls), 0)
+				if reached {
+					o.recall(fleet.Departure{Upstream: "a", StartMs: 1000, Sequence: 6, Gone: true})
+					close(f.recalled)
+					synctest.Wait()
+					assert.DeepEqual(t, r.calls, []string{"b"})
+					return
+				}
+				time.Sleep(recallTimeout + time.Millisecond)
+				synctest.Wait()
+				assert.Equal(t, len(r.calls), 2)
+				// What is learned later still counts.
+				o.recall(fleet.Departure{Upstream: "a", StartMs: 1000, Sequence: 6, Gone: true})
+				assert.Equal(t, r.calls[len(r.calls)-1], "-a")
+			})
+		})
+	}
+}
+
+// Guards against an acknowledged departure that a restart of the node can forget: it is acknowledged only once
+// other nodes keep it, and refused work meanwhile.
+func TestDepartureIsAcknowledgedOnceKept(t *testing.T) {
+	f := &fakeDepartures{recalled: closedChannel(), fail: context.DeadlineExceeded}
+	r := &sinkRecorder{}
+	o := NewOrdered(r, f, logging.Discard())
+	draining := Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 2, Draining: true}
+	assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 1}))
+	assert.ErrorIs(t, o.Announce(draining), context.DeadlineExceeded)
+	assert.DeepEqual(t, r.calls, []string{"a", "a"})
+	f.fail = nil
+	draining.Sequence++
+	assert.NilError(t, o.Announce(draining))
+	assert.Equal(t, len(f.kept), 1)
+	draining.Sequence++
+	assert.NilError(t, o.Announce(draining))
+	assert.Equal(t, len(f.kept), 1, "the same departure was recorded again")
+	assert.NilError(t, o.Withdraw("a", 0))
+	assert.NilError(t, o.Withdraw("a", 0))
+	assert.Equal(t, len(f.kept), 2)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,3 +87,27 @@
 
 // Usable reports whether the node may be given new requests.
 func (n *Node) Usable() bool { return n.State == NodeAlive || n.State == NodeSuspect }
+
+// Departure is what an upstream has said about its own end: that it drains, or that it has left. It holds
+// for the process of the upstream that started at StartMs, and for earlier ones. The other nodes keep it for
+// the node of its VM, which would forget it with a restart.
+type Departure struct {
+	Upstream UpstreamID
+	// StartMs is the start of the upstream's process in Unix milliseconds.
+	StartMs int64
+	// Sequence is the sequence number of the announcement in which the upstream said that it drains.
+	Sequence uint64
+	// Gone is set once the upstream has left.
+	Gone bool
+}
+
+// Supersedes reports whether d says more than old, a departure of the same upstream.
+func (d Departure) Supersedes(old Departure) bool {
+	switch {
+	case d.StartMs != old.StartMs:
+		return d.StartMs > old.StartMs
+	case d.Gone != old.Gone:
+		return d.Gone
+	}
+	return d.Sequence > old.Sequence
+}
--- a/gossip/apply.go
+++ b/gossip/apply.go
@@ -37,7 +37,7 @@
 	case kindIndirectPing:
 		c.relayProbe(now, src, &msg)
 	case kindRecordRequest:
-		c.sendRecord(msg.From, src, msg.Subject)
+		c.sendRecord(now, msg.From, src, msg.Subject)
 	}
 	c.enterBulk(now)
 	if c.queue.hasFresh() {
@@ -66,16 +66,19 @@
 }
 
 // sendRecord sends all parts of a member's record, in as many datagrams as needed.
-func (c *core) sendRecord(to fleet.NodeID, addr string, id fleet.NodeID) {
+func (c *core) sendRecord(now time.Time, to fleet.NodeID, addr string, id fleet.NodeID) {
 	m := c.members[id]
 	if m == nil {
 		return
 	}
-	full := m.record()
+	full := m.record(now)
 	parts := []record{{Node: id, Status: full.Status}, {Node: id, Meta: full.Meta}}
 	for _, e := range full.Upstreams {
 		parts = append(parts, record{Node: id, Upstreams: []upstreamEntry{e}})
 	}
+	for _, e := range full.Departures {
+		parts = append(parts, record{Node: id, Departures: []departureEntry{e}})
+	}
 	b := c.newBuilder(kindPush, 0, "")
 	for _, p := range parts {
 		raw := mustEncode(p)
@@ -113,6 +116,7 @@
 			c.queueUpstream(m, e)
 		}
 	}
+	c.applyDepartures(now, m, r.Departures)
 	if m.live() {
 		c.joining = false
 	}
@@ -154,8 +158,10 @@
 }
 
 // refuteClaims processes what another node believes about this node. Claims that are newer than
-// this node's record are overridden by a higher incarnation or by new numbers.
+// this node's record are overridden by a higher incarnation or by new numbers. Departures are taken
+// over.
 func (c *core) refuteClaims(now time.Time, r record) {
+	c.recallDepartures(now, r.Departures)
 	if c.self.status.State == fleet.NodeDead {
 		return
 	}
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -58,6 +58,11 @@
 	// joining is true while no other live member is known.
 	joining bool
 
+	// confirming holds the departures of this node that other members have to acknowledge, by number.
+	confirming map[uint64]*confirmation
+	// recalled holds the departures of this node that other members have kept, until they are fetched.
+	recalled []fleet.Departure
+
 	packets  []packet
 	changed  map[fleet.NodeID]bool
 	counters *counters
@@ -68,8 +73,8 @@
 	self := &member{
 		id:        local.ID,
 		status:    status{Incarnation: incarnation},
-		upstreams: map[fleet.UpstreamID]upstreamEntry{},
-		created:   now,
+		upstreams: map[fleet.UpstreamID]upstreamEntry{}, departures: departures{},
+		created: now,
 	}
 	c := &core{
 		cfg:            cfg,
@@ -78,6 +83,7 @@
 		lastNumber:     incarnation,
 		members:        map[fleet.NodeID]*member{local.ID: self},
 		deathDeadlines: map[*member]bool{},
+		confirming:     map[uint64]*confirmation{},
 		queue:          newQueue(),
 		viewsStale:     true,
 		joining:        true,
@@ -344,7 +350,7 @@
 	if m := c.members[id]; m != nil {
 		return m
 	}
-	m := &member{id: id, upstreams: map[fleet.UpstreamID]upstreamEntry{}, created: now}
+	m := &member{id: id, upstreams: map[fleet.UpstreamID]upstreamEntry{}, departures: departures{}, created: now}
 	c.members[id] = m
 	i, _ := slices.BinarySearchFunc(c.peers, id, func(m *member, id fleet.NodeID) int { return cmp.Compare(m.id, id) })
 	c.peers = slices.Insert(c.peers, i, m)
--- a/gossip/core_test.go
+++ b/gossip/core_test.go
@@ -319,7 +319,7 @@
 				holder.applyRecord(now, r)
 			}
 		}
-		records, _ := owner.compareDigests(holder.digests())
+		records, _ := owner.compareDigests(time.Time{}, holder.digests())
 		holder.mergeRecords(now, records, false)
 		assert.DeepEqual(t, holder.members[owner.self.id].node(), owner.self.node())
 		assert.Equal(t, holder.members[owner.self.id].hash(), owner.self.hash())
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -31,7 +31,7 @@
 
 // compareDigests returns the records that differ from the other side's digests, and the members
 // whose records the other side should send.
-func (c *core) compareDigests(theirDigests []digest) (records []record, want []fleet.NodeID) {
+func (c *core) compareDigests(now time.Time, theirDigests []digest) (records []record, want []fleet.NodeID) {
 	listed := make(map[fleet.NodeID]bool, len(theirDigests))
 	for _, d := range theirDigests {
 		listed[d.Node] = true
@@ -43,27 +43,27 @@
 				want = append(want, d.Node)
 			}
 		case m.hash() != d.Hash:
-			records = append(records, m.record())
+			records = append(records, m.record(now))
 			want = append(want, d.Node)
 		}
 	}
 	if !listed[c.self.id] {
-		records = append(records, c.self.record())
+		records = append(records, c.self.record(now))
 	}
 	for _, m := range c.peers {
 		if !listed[m.id] && m.live() {
-			records = append(records, m.record())
+			records = append(records, m.record(now))
 		}
 	}
 	return records, want
 }
 
 // recordsOf returns the records of those requested members that are complete.
-func (c *core) recordsOf(want []fleet.NodeID) []record {
+func (c *core) recordsOf(now time.Time, want []fleet.NodeID) []record {
 	var out []record
 	for _, id := range want {
 		if m := c.members[id]; m != nil && m.complete() {
-			out = append(out, m.record())
+			out = append(out, m.record(now))
 		}
 	}
 	return out
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -39,6 +39,7 @@
 	core *core
 
 	events *events
+	recall *recall
 }
 
 // New opens the node's socket on local.GossipAddr; if the port is 0, a free port is chosen and
@@ -76,6 +77,7 @@
 		wake:             make(chan struct{}, 1),
 		exchangeRequests: make(chan string, 1),
 		events:           newEvents(),
+		recall:           newRecall(),
 	}
 	if err := conn.SetReadBuffer(receiveBufferSize); err != nil {
 		g.log.Warn("cannot enlarge the receive buffer of the gossip socket", "err", err)
@@ -105,6 +107,7 @@
 	before := g.core.nextTick()
 	f(g.core, time.Now())
 	packets, changed := g.core.takeOutput()
+	recalled := g.core.takeRecalled()
 	sooner := g.core.nextTick().Before(before)
 	g.events.add(changed)
 	g.mu.Unlock()
@@ -117,6 +120,7 @@
 	for _, p := range packets {
 		g.sendPacket(p)
 	}
+	g.recall.deliver(recalled)
 }
 
 func (g *Gossip) sendPacket(p packet) {
--- a/gossip/member.go
+++ b/gossip/member.go
@@ -17,7 +17,9 @@
 	status    status
 	meta      meta
 	upstreams map[fleet.UpstreamID]upstreamEntry
-	config    resource.Version
+	// departures outlast the processes of the member.
+	departures departures
+	config     resource.Version
 
 	hashInTable uint64 // the member's hash as included in core.table.hash
 	created     time.Time
@@ -57,7 +59,7 @@
 }
 
 // record returns everything known about the member.
-func (m *member) record() record {
+func (m *member) record(now time.Time) record {
 	r := record{Node: m.id, Status: &status{Incarnation: m.status.Incarnation, State: m.status.State}}
 	if m.meta.Number != 0 {
 		copied := m.meta
@@ -69,11 +71,13 @@
 	slices.SortFunc(r.Upstreams, func(a, b upstreamEntry) int { return cmp.Compare(a.Number, b.Number) })
 	v := toConfigVersion(m.config)
 	r.Config = &v
+	r.Departures = m.departures.entries(now)
 	return r
 }
 
-// hash is equal on two nodes that know the same about the member. It leaves out suspicion, which
-// is short-lived, and the configuration version, which does not spread with the record.
+// hash is equal on two nodes that know the same about the member. It leaves out suspicion and
+// departures, which are short-lived, and the configuration version, which does not spread with the
+// record.
 func (m *member) hash() uint64 {
 	var b [24]byte
 	state := m.status.State
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -50,13 +50,15 @@
 }
 
 // record is what is known about a node, or a part of that. In a datagram, each record carries one
-// part: the status, the meta or one upstream. In a full exchange, it carries all of them.
+// part: the status, the meta, one upstream or one departure. In a full exchange, it carries all of them.
 type record struct {
 	Node      fleet.NodeID    `cbor:"1,keyasint"`
 	Status    *status         `cbor:"2,keyasint,omitempty"`
 	Meta      *meta           `cbor:"3,keyasint,omitempty"`
 	Upstreams []upstreamEntry `cbor:"4,keyasint,omitempty"`
 	Config    *configVersion  `cbor:"5,keyasint,omitempty"`
+	// Departures are kept apart from Upstreams, since they outlast the process of their node.
+	Departures []departureEntry `cbor:"6,keyasint,omitempty"`
 }
 
 // status is a node's state at an incarnation. The higher incarnation wins, then the later state.
@@ -207,6 +209,9 @@
 	for _, u := range r.Upstreams {
 		ok = ok && validName(string(u.ID)) && len(u.Service) <= maxName && u.State <= fleet.UpstreamGone
 	}
+	for _, d := range r.Departures {
+		ok = ok && validName(string(d.Upstream))
+	}
 	if !ok {
 		return fmt.Errorf("%w: invalid record of node %q", errMalformed, r.Node)
 	}
--- a/gossip/probe.go
+++ b/gossip/probe.go
@@ -88,6 +88,7 @@
 	if !c.probing.next.After(now) {
 		c.expireRelays(now)
 		c.expireMembers(now)
+		c.expireDepartures(now)
 		c.startProbe(now)
 	}
 	if !c.pushing.next.IsZero() && !c.pushing.next.After(now) {
@@ -235,6 +236,9 @@
 }
 
 func (c *core) handleAck(now time.Time, msg *message) {
+	if c.noteConfirmation(msg) {
+		return
+	}
 	if r, ok := c.probing.relays[msg.Probe]; ok && r.subject == msg.From && msg.Subject == "" {
 		delete(c.probing.relays, msg.Probe)
 		c.send(r.requester, r.requesterAddr, kindAck, r.requesterProbe, r.subject)
--- a/gossip/queue.go
+++ b/gossip/queue.go
@@ -33,6 +33,7 @@
 	partStatus partKind = iota
 	partMeta
 	partUpstream
+	partDeparture
 )
 
 // queuedChange is a change that this node still has to send to others.
--- a/gossip/seal_test.go
+++ b/gossip/seal_test.go
@@ -53,7 +53,7 @@
 	for k := kindPing; k <= kindRecordRequest; k++ {
 		a.send("node-001", addrOf(1), k, 7, "node-001")
 	}
-	a.sendRecord("node-001", addrOf(1), a.self.id)
+	a.sendRecord(time.Time{}, "node-001", addrOf(1), a.self.id)
 	packets, _ := a.takeOutput()
 	for _, p := range packets {
 		f.Add(p.payload)
--- a/gossip/sim_test.go
+++ b/gossip/sim_test.go
@@ -125,8 +125,8 @@
 	a, b := s.nodes[i], s.nodes[with]
 	wasJoining := a.joining
 	digests := a.digests()
-	records, want := b.compareDigests(digests)
-	wanted := a.recordsOf(want)
+	records, want := b.compareDigests(s.now, digests)
+	wanted := a.recordsOf(s.now, want)
 	s.exchanged += len(mustEncode(digests)) + len(mustEncode(records)) + len(mustEncode(want)) + len(mustEncode(wanted))
 	a.mergeRecords(s.now, records, wasJoining)
 	b.mergeRecords(s.now, wanted, false)
--- a/gossip/start_test.go
+++ b/gossip/start_test.go
@@ -71,7 +71,7 @@
 func TestChunkCompression(t *testing.T) {
 	s, _ := startFleet(t, startNodes, 2, 1)
 	var chunk membersChunk
-	for _, r := range s.nodes[0].recordsOf([]fleet.NodeID{"node-001", "node-002", "node-003", "node-004", "node-005", "node-006", "node-007", "node-008"}) {
+	for _, r := range s.nodes[0].recordsOf(s.now, []fleet.NodeID{"node-001", "node-002", "node-003", "node-004", "node-005", "node-006", "node-007", "node-008"}) {
 		chunk.Records = append(chunk.Records, mustEncode(r))
 	}
 	plain := mustEncode(chunk)
--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -205,7 +205,7 @@
 		return err
 	}
 	g.mu.Lock()
-	records, want := g.core.compareDigests(theirs.digests)
+	records, want := g.core.compareDigests(time.Now(), theirs.digests)
 	g.mu.Unlock()
 	sent, err := writeChunks(s, nil, records, want)
 	if err != nil {
@@ -250,10 +250,15 @@
 		return err
 	}
 	var wanted []record
+	bringsRecall := false
 	g.updateCore(func(c *core, now time.Time) {
-		wanted = c.recordsOf(theirs.want)
+		bringsRecall = c.bringsRecall(theirs.records)
+		wanted = c.recordsOf(now, theirs.want)
 		c.mergeRecords(now, theirs.records, wasJoining)
 	})
+	if bringsRecall {
+		g.recall.finish()
+	}
 	recordBytes, err := writeChunks(s, nil, wanted, nil)
 	g.counters.ExchangeBytes.Add(uint64(digestBytes + theirs.bytes + recordBytes))
 	return err
--- a/node/new.go
+++ b/node/new.go
@@ -46,7 +46,7 @@
 	CallerProtocol   ingress.Protocol
 	UpstreamProtocol dispatch.Protocol
 	// Announcements returns the HTTP handler that passes announcements to the sink.
-	Announcements func(announce.Sink, *slog.Logger) http.Handler
+	Announcements func(announce.Sink, announce.Departures, *slog.Logger) http.Handler
 }
 
 // New builds a node and opens its listeners. Run serves them.
@@ -56,7 +56,9 @@
 		return nil, err
 	}
 	if options.Announcements == nil {
-		options.Announcements = announce.Handler
+		options.Announcements = func(s announce.Sink, _ announce.Departures, l *slog.Logger) http.Handler {
+			return announce.Handler(s, l)
+		}
 	}
 	n := &Node{
 		settings:     settings,
@@ -157,7 +159,7 @@
 	if n.announceLn, err = net.Listen("tcp", n.settings.AnnounceAddr); err != nil {
 		return fmt.Errorf("node: announce address: %w", err)
 	}
-	n.announcements = newLocalServer(n.options.Announcements(announcementSink{n}, partLogger(log, "announce")))
+	n.announcements = newLocalServer(n.options.Announcements(announcementSink{n}, n.membership, partLogger(log, "announce")))
 	if n.settings.ReadyAddr != "" {
 		if n.readyLn, err = net.Listen("tcp", n.settings.ReadyAddr); err != nil {
 			return fmt.Errorf("node: ready address: %w", err)
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 	// Subscribe calls f for each present member and for each later change of a member.
 	Subscribe(f func(fleet.Node))
 	Leave(ctx context.Context) error
+	announce.Departures
 	// Incarnation returns the incarnation of this process as other nodes see it.
 	Incarnation() uint64
 	Close() error
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/logging"
@@ -25,6 +26,7 @@
 // fakeMembership implements Membership without a network: one value is shared by all nodes and
 // reports each of them to all.
 type fakeMembership struct {
+	announce.NoDepartures
 	mu          sync.Mutex
 	nodes       map[fleet.NodeID]fleet.Node
 	subscribers []func(fleet.Node)
@@ -49,7 +51,8 @@
 	}
 }
 
-func (m *fakeMembership) Incarnation() uint64         { return 1 }
+func (m *fakeMembership) Incarnation() uint64 { return 1 }
+
 func (m *fakeMembership) Leave(context.Context) error { return nil }
 func (m *fakeMembership) Close() error                { return nil }
 
