Tie reports on an upstream to its process

Looking for messages from before a restart: the dispatcher reports that an upstream fails its work, or refuses connections, by the name of the upstream. A report on an earlier process that came late hit its successor: the fleet was told to avoid it and never told otherwise, since the new process had not failed (until its lease ended); or it was withdrawn until its next announcement.

The reports now name the start of the process, like the one that it leaves. TestReportsOnAnEarlierProcessAreIgnored and TestLateEndOfAnEarlierProcess fail with the comparison taken out.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -43,6 +43,23 @@
 	assert.Equal(t, announce(7), fleet.UpstreamReady)
 	updateLocalUpstreams(s, UpstreamLeaving{"u", 7}, now)
 	assert.Equal(t, announce(7), fleet.UpstreamDraining)
-	updateLocalUpstreams(s, Withdrawn{"u"}, now)
+	updateLocalUpstreams(s, Withdrawn{"u", 7}, now)
 	assert.Equal(t, announce(8), fleet.UpstreamReady)
 }
+
+// Guards against reports on an earlier process of an upstream that come late and take the present one out of
+// use.
+func TestReportsOnAnEarlierProcessAreIgnored(t *testing.T) {
+	s, now := &State{Local: map[fleet.UpstreamID]*LocalUpstream{}}, time.Unix(1_700_000_000, 0)
+	for _, startMs := range []int64{7, 8} {
+		updateLocalUpstreams(s, Announced{announce.Announcement{ID: "u", Service: "shop", Addr: "127.0.0.1:1", StartMs: startMs, LeaseMs: 60_000}}, now)
+	}
+	updateLocalUpstreams(s, FailingChanged{"u", 7, true}, now)
+	assert.Assert(t, !s.Local["u"].advertiseSuspect(now.Add(failingAdvertiseDelay)))
+	updateLocalUpstreams(s, Withdrawn{"u", 7}, now)
+	assert.Assert(t, s.Local["u"] != nil)
+	updateLocalUpstreams(s, FailingChanged{"u", 8, true}, now)
+	assert.Assert(t, s.Local["u"].advertiseSuspect(now.Add(failingAdvertiseDelay)))
+	updateLocalUpstreams(s, Withdrawn{"u", 8}, now)
+	assert.Assert(t, s.Local["u"] == nil)
+}
--- a/board/controllers.go
+++ b/board/controllers.go
@@ -57,7 +57,9 @@
 	case Withdrawn:
 		// No DropUpstream: the dispatcher has already been told of the withdrawal, and may have
 		// received the upstream's next announcement since.
-		delete(s.Local, e.ID)
+		if u := s.Local[e.ID]; u != nil && (e.StartMs == 0 || e.StartMs == u.StartMs) {
+			delete(s.Local, e.ID)
+		}
 	case FailingChanged:
 		s.setFailing(e, now)
 	case UpstreamLeaving:
@@ -76,7 +78,7 @@
 
 func (s *State) setFailing(e FailingChanged, now time.Time) {
 	u := s.Local[e.ID]
-	if u == nil {
+	if u == nil || u.StartMs != e.StartMs {
 		return
 	}
 	u.failingSince = time.Time{}
@@ -88,7 +90,7 @@
 func (s *State) renewLease(e Announced, now time.Time) {
 	a := e.Announcement
 	u := s.Local[a.ID]
-	if u == nil || u.Service != a.Service || u.Addr != a.Addr {
+	if u == nil || u.Service != a.Service || u.Addr != a.Addr || u.StartMs != a.StartMs {
 		u = &LocalUpstream{FirstSeen: now}
 		s.Local[a.ID] = u
 	}
--- a/board/state.go
+++ b/board/state.go
@@ -121,16 +121,21 @@
 	NodeChanged struct{ Node fleet.Node }
 	// Announced delivers an announcement of an upstream of this VM.
 	Announced struct{ Announcement announce.Announcement }
-	// Withdrawn reports that an upstream of this VM is gone.
-	Withdrawn struct{ ID fleet.UpstreamID }
+	// Withdrawn reports that an upstream of this VM is gone. StartMs, here and below, is that of the
+	// process of the upstream (see announce.Announcement): a report on an earlier one may come late.
+	// 0 stands for any.
+	Withdrawn struct {
+		ID      fleet.UpstreamID
+		StartMs int64
+	}
 	// FailingChanged reports that the requests of an upstream of this VM have begun to fail,
 	// or no longer fail.
 	FailingChanged struct {
 		ID      fleet.UpstreamID
+		StartMs int64
 		Failing bool
 	}
-	// UpstreamLeaving reports that an upstream of this VM has said in an answer that it leaves. StartMs
-	// is as in announce.Announcement.
+	// UpstreamLeaving reports that an upstream of this VM has said in an answer that it leaves.
 	UpstreamLeaving struct {
 		ID      fleet.UpstreamID
 		StartMs int64
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -53,6 +53,10 @@
 // withdrawGone withdraws an upstream whose process has ended. With all its slots free, it would
 // otherwise attract work from every ingress until its lease ends, and refuse all of it.
 func (d *Dispatcher) withdrawGone(u *upstream) {
-	d.Withdraw(u.id)
-	d.cfg.Gone(u.id)
+	d.mu.Lock()
+	if d.upstreams[u.id] == u {
+		d.remove(u)
+	}
+	d.mu.Unlock()
+	d.cfg.Gone(u.id, u.startMs)
 }
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -11,6 +11,7 @@
 	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/outcome"
 )
 
 // crashReports receives the fingerprints of each crash that is reported.
@@ -26,7 +27,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	reports := make(crashReports, 1)
-	d := New(Config{Log: logging.Discard(), Crashes: reports, Gone: func(fleet.UpstreamID) {}})
+	d := New(Config{Log: logging.Discard(), Crashes: reports, Gone: func(fleet.UpstreamID, int64) {}})
 	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: ln.Addr().String(), Slots: 1}, &Protocol{})
 	u.running[1] = 42
 	assert.Assert(t, !d.checkCrash(u), "the listener still accepts connections")
@@ -41,3 +42,14 @@
 		}
 	}, poll.WithTimeout(2*time.Second), poll.WithDelay(5*time.Millisecond))
 }
+
+// Guards against the late end of an earlier process of an upstream that withdraws the present one.
+func TestLateEndOfAnEarlierProcess(t *testing.T) {
+	f := newFixture(t, nil, answerOK)
+	earlier := f.upstreams["u"]
+	f.Withdraw("u")
+	f.Announce(f.announcement)
+	f.withdrawGone(earlier)
+	_, end := finish(t, begin(t, f, orderHead("a")))
+	assert.Equal(t, end.Outcome, outcome.Answered)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -33,17 +33,17 @@
 	Observe func(Observation)
 	// Claims grants claims on idempotency keys. If nil, requests that need a claim are refused.
 	Claims idempotency.Claims
-	// Gone is called for an upstream that refuses connections. It is withdrawn until it announces
-	// itself again. Gone must not block.
-	Gone func(fleet.UpstreamID)
-	// Leaving is called for an upstream that has said in an answer that it leaves, with its start time
-	// (see announce.Announcement). It may be nil and must not block.
+	// Gone is called for an upstream that refuses connections, with its start time (see
+	// announce.Announcement). It is withdrawn until it announces itself again. Gone must not block.
+	Gone func(id fleet.UpstreamID, startMs int64)
+	// Leaving is called for an upstream that has said in an answer that it leaves, with its start time.
+	// It may be nil and must not block.
 	Leaving func(id fleet.UpstreamID, startMs int64)
 	// Crashes tracks requests that crash upstreams. If nil, they are not tracked.
 	Crashes Crashes
-	// Failing is called when an upstream begins to fail its requests, and when it has recovered.
-	// It may be nil and must not block.
-	Failing func(id fleet.UpstreamID, failing bool)
+	// Failing is called when an upstream begins to fail its requests, and when it has recovered, with
+	// its start time. It may be nil and must not block.
+	Failing func(id fleet.UpstreamID, startMs int64, failing bool)
 	// RetryLimits returns the limits of the retry budget of each upstream of a service. If nil, the
 	// dispatcher does not limit retries.
 	RetryLimits func(service string) retry.Limits
@@ -166,13 +166,16 @@
 func (d *Dispatcher) Withdraw(id fleet.UpstreamID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	u := d.upstreams[id]
-	if u == nil {
-		return
+	if u := d.upstreams[id]; u != nil {
+		d.remove(u)
 	}
-	delete(d.upstreams, id)
+}
+
+// remove removes a registered upstream. d.mu is held.
+func (d *Dispatcher) remove(u *upstream) {
+	delete(d.upstreams, u.id)
 	u.close()
-	d.log.Info("upstream left", "upstream", id)
+	d.log.Info("upstream left", "upstream", u.id)
 }
 
 // Leave refuses new attempts from now on and waits until the active ones have ended or ctx is done.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -61,7 +61,7 @@
 		Log:           logging.Discard(),
 		Configuration: func() *resource.Config { return nil },
 		Observe:       func(Observation) {},
-		Gone:          func(fleet.UpstreamID) {},
+		Gone:          func(fleet.UpstreamID, int64) {},
 		Claims:        claims,
 	})
 	f.Register(f.mux)
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -102,7 +102,7 @@
 
 func (d *Dispatcher) reportFailing(u *upstream, failing bool) {
 	if d.cfg.Failing != nil {
-		d.cfg.Failing(u.id, failing)
+		d.cfg.Failing(u.id, u.startMs, failing)
 	}
 }
 
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -94,7 +94,7 @@
 func TestEndOfFailingPhaseIsToldWithoutWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var told []bool
-		d := New(Config{Log: logging.Discard(), Failing: func(_ fleet.UpstreamID, failing bool) { told = append(told, failing) }})
+		d := New(Config{Log: logging.Discard(), Failing: func(_ fleet.UpstreamID, _ int64, failing bool) { told = append(told, failing) }})
 		u, _ := grayUpstream()
 		for range 3 {
 			d.recordResult(u, time.Now(), time.Now(), true)
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -21,7 +21,7 @@
 		Log:           logging.Discard(),
 		Configuration: func() *resource.Config { return nil },
 		Observe:       func(Observation) {},
-		Gone:          func(fleet.UpstreamID) {},
+		Gone:          func(fleet.UpstreamID, int64) {},
 	})
 	mux := link.NewMux(logging.Discard())
 	d.Register(mux)
--- a/dispatch/relay_test.go
+++ b/dispatch/relay_test.go
@@ -23,7 +23,7 @@
 		Dialer:        &link.LocalDialer{Addr: "peer", Name: "peer", Mux: peer},
 		Configuration: func() *resource.Config { return nil },
 		Observe:       func(Observation) {},
-		Gone:          func(fleet.UpstreamID) {},
+		Gone:          func(fleet.UpstreamID, int64) {},
 	})
 	mux := link.NewMux(logging.Discard())
 	d.Register(mux)
--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -121,7 +121,7 @@
 		Dialer:        pipeDialer{f},
 		Configuration: func() *resource.Config { return v.Config },
 		Observe:       func(dispatch.Observation) {},
-		Gone:          func(fleet.UpstreamID) {},
+		Gone:          func(fleet.UpstreamID, int64) {},
 		RetryLimits:   f.retryLimits(),
 	})
 	p.dispatcher.Register(p.mux)
--- a/node/new.go
+++ b/node/new.go
@@ -101,7 +101,7 @@
 		Dialer:        n.dialer,
 		Configuration: configuration,
 		Observe:       n.observe,
-		Gone:          func(id fleet.UpstreamID) { go n.post(board.Withdrawn{ID: id}) },
+		Gone:          func(id fleet.UpstreamID, startMs int64) { go n.post(board.Withdrawn{ID: id, StartMs: startMs}) },
 		Leaving:       func(id fleet.UpstreamID, startMs int64) { go n.post(board.UpstreamLeaving{ID: id, StartMs: startMs}) },
 		Crashes:       n.crashes,
 		Claims:        n.groups.client,
@@ -133,9 +133,9 @@
 }
 
 // reportFailing logs and posts that an upstream's requests have begun to fail or no longer fail.
-func (n *Node) reportFailing(id fleet.UpstreamID, failing bool) {
+func (n *Node) reportFailing(id fleet.UpstreamID, startMs int64, failing bool) {
 	n.log.Info("upstream's work", "upstream", id, "failing", failing)
-	go n.post(board.FailingChanged{ID: id, Failing: failing})
+	go n.post(board.FailingChanged{ID: id, StartMs: startMs, Failing: failing})
 }
 
 // retryLimits returns the share of one upstream in the fleet's retry budget for its service, or nil if
