Let an upstream back that goes on to announce itself after an unnamed leave

Neither its sequence nor its time tells such a withdrawal from a true one.

What tells is whether the upstream goes on: announcements are at most seconds late, so one that arrives more than 10 s after the withdrawal was sent after it. A withdrawal that names its process stays final. The unnamed case of TestUnnamedWithdrawalOfAnEarlierProcess fails without the change (no second 'a' after 11 s), the named one guards the other side.

--- a/announce/order.go
+++ b/announce/order.go
@@ -14,6 +14,9 @@
 	// retentionPeriod is how long an upstream is remembered after its last announcement or
 	// withdrawal. Delayed announcements arrive within seconds of being sent.
 	retentionPeriod = 2 * time.Minute
+	// maxDelay is the longest time for which an announcement may be on its way. One that arrives later
+	// than this after a withdrawal was sent after it.
+	maxDelay = 10 * time.Second
 	// recallTimeout bounds the wait for what other nodes know of the upstreams of this VM. A node that
 	// reaches no other one serves its own callers after that.
 	recallTimeout = 2 * time.Second
@@ -28,7 +31,8 @@
 	Announce(Announcement) error
 	// Withdraw reports that an upstream is gone. startMs is as in Announcement; 0
 	// stands for the latest known incarnation, or for all that have started by now if
-	// none is known.
+	// none is known. As it may be late and come from an earlier one, the latest is back once it goes on to
+	// announce itself.
 	Withdraw(id fleet.UpstreamID, startMs int64) error
 }
 
@@ -76,6 +80,9 @@
 type incarnation struct {
 	Announcement
 	withdrawn bool
+	// unnamed is set if the withdrawal named no start time, so that it may have come from an earlier
+	// process of the upstream.
+	unnamed   bool
 	lastHeard time.Time
 	warmMs    int64 // as first announced by the incarnation
 	// recorded is the departure that other nodes keep.
@@ -238,7 +245,7 @@
 		switch {
 		case a.StartMs < inc.StartMs:
 			return "an earlier incarnation"
-		case a.StartMs == inc.StartMs && inc.withdrawn:
+		case a.StartMs == inc.StartMs && inc.withdrawn && !(inc.unnamed && time.Since(inc.lastHeard) > maxDelay):
 			return "the upstream was withdrawn"
 		case a.StartMs == inc.StartMs && a.Sequence <= inc.Sequence:
 			return "overtaken"
@@ -286,8 +293,8 @@
 		// announcement may be on its way. Every incarnation that has started by now is gone.
 		startMs = time.Now().UnixMilli()
 	}
+	inc.withdrawn, inc.unnamed, inc.lastHeard = true, startMs == 0, time.Now()
 	inc.StartMs = max(inc.StartMs, startMs)
-	inc.withdrawn, inc.lastHeard = true, time.Now()
 	o.next.Withdraw(id)
 }
 
--- a/announce/order_test.go
+++ b/announce/order_test.go
@@ -183,3 +183,34 @@
 	assert.NilError(t, o.Withdraw("a", 0))
 	assert.Equal(t, len(f.kept), 2)
 }
+
+// Guards against an upstream that stays out of use although it goes on to announce itself, since a withdrawal
+// of its earlier process, which names no process, came late. Late announcements of one that has left must not
+// bring it back.
+func TestUnnamedWithdrawalOfAnEarlierProcess(t *testing.T) {
+	for name, startMs := range map[string]int64{"unnamed": 0, "named": 2000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &sinkRecorder{}
+				o := NewOrdered(r, NoDepartures{}, logging.Discard())
+				a := Announcement{ID: "a", Addr: "x", StartMs: 2000}
+				announce := func() {
+					a.Sequence++
+					assert.NilError(t, o.Announce(a))
+				}
+				announce()
+				assert.NilError(t, o.Withdraw("a", startMs))
+				time.Sleep(maxDelay - time.Second)
+				announce()
+				assert.DeepEqual(t, r.calls, []string{"a", "-a"})
+				time.Sleep(2 * time.Second)
+				announce()
+				want := []string{"a", "-a", "a"}
+				if startMs != 0 {
+					want = want[:2]
+				}
+				assert.DeepEqual(t, r.calls, want)
+			})
+		})
+	}
+}
