Do not panic when a line is logged after the log was closed

The review saw a node panic at the end of a planned stop: 'send on closed channel' in logging/async.go. It had answered its requests. Background work that does not end within its limit is given up, and may log when the log is closed already.

Close no longer closes the channel of lines; what comes later is dropped. TestLogAfterClose panics before.

--- a/logging/async.go
+++ b/logging/async.go
@@ -27,22 +27,47 @@
 	lines     chan []byte
 	limiter   *rate.Limiter
 	dropped   atomic.Int64
+	closing   chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
 }
 
 // NewAsync returns an Async that writes to w. Close flushes the waiting lines.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{lines: make(chan []byte, asyncBacklogLines), limiter: rate.NewLimiter(asyncLinesPerSecond, asyncBurstLines), done: make(chan struct{})}
-	go func() {
-		defer close(a.done)
-		for line := range a.lines {
-			if _, err := w.Write(line); err != nil {
-				a.dropped.Add(1)
+	a := &Async{
+		lines:   make(chan []byte, asyncBacklogLines),
+		limiter: rate.NewLimiter(asyncLinesPerSecond, asyncBurstLines),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	go a.run(w)
+	return a
+}
+
+// run writes lines to w until Close is called, and then those that still wait.
+func (a *Async) run(w io.Writer) {
+	defer close(a.done)
+	write := func(line []byte) {
+		if _, err := w.Write(line); err != nil {
+			a.dropped.Add(1)
+		}
+	}
+	for {
+		select {
+		case line := <-a.lines:
+			write(line)
+			continue
+		case <-a.closing:
+		}
+		for {
+			select {
+			case line := <-a.lines:
+				write(line)
+			default:
+				return
 			}
 		}
-	}()
-	return a
+	}
 }
 
 // Write implements io.Writer for a slog.Handler, which writes one line at a time.
@@ -55,9 +80,10 @@
 	return len(line), nil
 }
 
-// Close flushes the waiting lines. Nothing may be logged after it.
+// Close flushes the waiting lines. Later ones are dropped: parts of a process that are given up at its end
+// may still log.
 func (a *Async) Close() {
-	a.closeOnce.Do(func() { close(a.lines) })
+	a.closeOnce.Do(func() { close(a.closing) })
 	<-a.done
 }
 
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -38,3 +38,16 @@
 	a.Close()
 	assert.Assert(t, strings.Contains(w.text.String(), "important"))
 }
+
+// Guards against a process that panics at its end because a part of it still logs.
+func TestLogAfterClose(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	a := NewAsync(w)
+	log := slog.New(slog.NewTextHandler(a, nil))
+	log.Info("before")
+	a.Close()
+	log.Info("after")
+	a.Close()
+	assert.Assert(t, strings.Contains(w.text.String(), "before"))
+}
