Bound what quoted text adds to traces and log lines

A node keeps the traces of its last 4,096 requests, with the message of a refusal, which quoted the whole path: 65,582 bytes each with a path of the longest head that is accepted, 256 MB in all, at a node of 184 MB (TestTracesOfLongPathsAreShort). In the same way upstreams add up to 64 KiB to lines of warnings, of which 2,048 wait while the log reader is slow, by the ID or the rate limit in the head of an answer.

Messages have 512 bytes, quoted values 64, and lines over 16 KiB are dropped and counted.

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -77,8 +77,8 @@
 	}
 	host, _, err := net.SplitHostPort(a.Addr)
 	check(a.ID != "" && len(a.ID) <= maxIDLength, "id", "must have 1 to %d characters", maxIDLength)
-	check(resource.ValidName(a.Service), "service", "%q is not a valid name", a.Service)
-	check(err == nil && net.ParseIP(host) != nil, "addr", "%q is not an IP address and port", a.Addr)
+	check(resource.ValidName(a.Service), "service", "%.64q is not a valid name", a.Service)
+	check(err == nil && net.ParseIP(host) != nil, "addr", "%.64q is not an IP address and port", a.Addr)
 	check(a.Slots >= 1 && a.Slots <= maxSlots, "slots", "%d is not between 1 and %d", a.Slots, maxSlots)
 	check(a.Connections >= 0 && a.Connections <= maxConnections, "connections", "%d is not between 0 and %d", a.Connections, maxConnections)
 	check(a.Lease() >= minLease && a.Lease() <= maxLease, "leaseMs", "%d is not between %d and %d", a.LeaseMs, minLease.Milliseconds(), maxLease.Milliseconds())
--- a/dispatch/httpconn/exchange.go
+++ b/dispatch/httpconn/exchange.go
@@ -153,7 +153,7 @@
 		x.client.setReturnsIDs(false)
 		return nil
 	}
-	return fmt.Errorf("%w: it has the ID %q", ErrForeignAnswer, id)
+	return fmt.Errorf("%w: it has the ID %.64q", ErrForeignAnswer, id)
 }
 
 // skipBody reads the body of an answer that is not used.
--- a/dispatch/notice.go
+++ b/dispatch/notice.go
@@ -23,7 +23,7 @@
 	perSecond, err = strconv.ParseFloat(h.Get(p.RateLimit), 64)
 	switch {
 	case err != nil:
-		return 0, fmt.Errorf("dispatch: %s: %w", p.RateLimit, err)
+		return 0, fmt.Errorf("dispatch: %s: %.64q is not a number", p.RateLimit, h.Get(p.RateLimit))
 	case math.IsNaN(perSecond), perSecond < 0:
 		return 0, fmt.Errorf("dispatch: %s: %v is not a rate", p.RateLimit, perSecond)
 	case math.IsInf(perSecond, 1):
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -151,3 +151,19 @@
 	}
 	assert.Assert(t, !in.paths.hasFailed("n0"))
 }
+
+// Guards against refused requests with long paths that fill the memory of the node by the traces of requests.
+func TestTracesOfLongPathsAreShort(t *testing.T) {
+	f := newTestFleet(t, make([]float64, 1), 5, 0)
+	in := f.nodes[0].process.Load().ingress
+	path := "/" + strings.Repeat("é", MaxHeaderBytes/2)
+	for range 10 {
+		r := httptest.NewRequest(http.MethodPut, "http://other.example/", nil)
+		r.URL.Path = path
+		in.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	for _, trace := range in.trace.ring {
+		assert.Assert(t, trace.Message != "" && len(trace.Message) <= maxMessageBytes+len("..."), "%d bytes", len(trace.Message))
+	}
+	assert.Equal(t, len(in.trace.ring), 10)
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,8 +60,16 @@
 // Error implements error.
 func (r *refusal) Error() string { return string(r.reason) + ": " + r.message }
 
+// maxMessageBytes bounds the message of a refusal, which may quote the request. It is logged and kept in the
+// trace of the request.
+const maxMessageBytes = 512
+
 func refuse(reason outcome.Reason, format string, args ...any) error {
-	return &refusal{reason, fmt.Sprintf(format, args...)}
+	message := fmt.Sprintf(format, args...)
+	if len(message) > maxMessageBytes {
+		message = strings.ToValidUTF8(message[:maxMessageBytes], "") + "..."
+	}
+	return &refusal{reason, message}
 }
 
 // newRequestID returns a UUIDv7, which carries the time of the request.
--- a/logging/async.go
+++ b/logging/async.go
@@ -14,6 +14,9 @@
 const (
 	// asyncBacklogLines is the maximum number of lines that wait to be written.
 	asyncBacklogLines = 2048
+	// maxLineBytes bounds a line. Longer ones are dropped: they quote what a peer has sent, and the
+	// backlog must not take the memory of a small VM.
+	maxLineBytes = 16 << 10
 	// asyncLinesPerSecond and asyncBurstLines limit the lines below Warn.
 	asyncLinesPerSecond = 400
 	asyncBurstLines     = 1000
@@ -72,6 +75,10 @@
 
 // Write implements io.Writer for a slog.Handler, which writes one line at a time.
 func (a *Async) Write(line []byte) (int, error) {
+	if len(line) > maxLineBytes {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
--- a/logging/async_test.go
+++ b/logging/async_test.go
@@ -51,3 +51,16 @@
 	a.Close()
 	assert.Assert(t, strings.Contains(w.text.String(), "before"))
 }
+
+// Guards against long lines, which quote a peer, that fill the memory while the log reader is slow.
+func TestLongLinesAreDropped(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	a := NewAsync(w)
+	log := slog.New(slog.NewTextHandler(a, nil))
+	log.Error("quoted", "text", strings.Repeat("x", maxLineBytes))
+	log.Error("short")
+	a.Close()
+	assert.Assert(t, w.text.Len() < 200 && strings.Contains(w.text.String(), "short"))
+	assert.Equal(t, a.dropped.Load(), int64(1))
+}
