--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -333,18 +334,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("tlslink: %w", err)
 	}
+	return newListener(ln, c), nil
+}
+
+func newListener(ln net.Listener, c *tls.Config) *Listener {
 	l := &Listener{queue: link.NewAcceptQueue(), listener: ln, conns: map[net.Conn]struct{}{}}
 	go l.acceptConnections(c)
-	return l, nil
+	return l
 }
 
+// acceptRetryDelay is the wait after a failed accept, as when the process has no descriptor left.
+const acceptRetryDelay = 20 * time.Millisecond
+
 func (l *Listener) acceptConnections(c *tls.Config) {
 	for {
 		nc, err := l.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			l.queue.Close()
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		l.track(nc, true)
 		go func() {
 			defer l.track(nc, false)
