Wait longer before an upstream that has left can come back

A leaving upstream may serve on for many seconds after its withdrawal, and an announcement of it may be seconds late on top.

--- a/announce/order.go
+++ b/announce/order.go
@@ -14,9 +14,9 @@
 	// retentionPeriod is how long an upstream is remembered after its last announcement or
 	// withdrawal. Delayed announcements arrive within seconds of being sent.
 	retentionPeriod = 2 * time.Minute
-	// maxDelay is the longest time for which an announcement may be on its way. One that arrives later
-	// than this after a withdrawal was sent after it.
-	maxDelay = 10 * time.Second
+	// maxDelay is the longest time for which an announcement may be on its way, or a leaving upstream may
+	// take to end. One that arrives later than this after a withdrawal was sent by an upstream that stays.
+	maxDelay = 30 * time.Second
 	// recallTimeout bounds the wait for what other nodes know of the upstreams of this VM. A node that
 	// reaches no other one serves its own callers after that.
 	recallTimeout = 2 * time.Second
