Found the control group although a founder is lost during the first start

Cause: the founding needed all three founders, by their settings, and a process is told only at the first start of the system that it is one. The log of the case names it ('has other founders in its settings'); ruled out are a founded group without a quorum and paths that are cut.

A founder with a new blank disk is taken in but does not count as ready, one that restarts with its disk remembers that it is a founder, and a self-repairing group is founded without one that is out of reach for 2 s. A majority of ready founders is needed, so that two foundings have one of them in common and their quorums overlap.

--- a/consensus/disk/disk.go
+++ b/consensus/disk/disk.go
@@ -46,6 +46,7 @@
 
 	formatKey   = []byte("format")
 	idKey       = []byte("id")
+	foundersKey = []byte("founders")
 	hardKey     = []byte("hard")
 	snapshotKey = []byte("snapshot")
 )
@@ -218,6 +219,24 @@
 // ID returns the replica id that the store was created with.
 func (s *Store) ID() consensus.ReplicaID { return s.id }
 
+// Founders returns what SaveFounders has stored last, or nil.
+func (s *Store) Founders() (founders []string, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer recoverDamage(&err)
+	err = s.db.View(func(tx *bbolt.Tx) error { return getOptional(tx.Bucket(metaBucket), foundersKey, &founders) })
+	return founders, err
+}
+
+// SaveFounders stores the founders of the group that the replica is meant to found together with others, as
+// it was told at its first start.
+func (s *Store) SaveFounders(founders []string) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error { return putRecord(tx.Bucket(metaBucket), foundersKey, founders) })
+	if err != nil {
+		return fmt.Errorf("disk: save founders: %w", err)
+	}
+	return nil
+}
+
 // Load implements consensus.Store. It verifies the checksum of every record.
 func (s *Store) Load() (stored consensus.Stored, err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
--- a/controld/found.go
+++ b/controld/found.go
@@ -1,10 +1,9 @@
 package controld
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"slices"
+	"sync"
 	"time"
 
 	"github.com/godwithub/godwithub/consensus"
@@ -15,6 +14,9 @@
 const (
 	// foundInterval is the time between attempts to found the group.
 	foundInterval = 250 * time.Millisecond
+	// absenceTimeout is how long a founder has to be out of reach until a self-repairing group is founded
+	// without it. It joins the group later, like any other member.
+	absenceTimeout = 2 * time.Second
 	// infoTimeout bounds one request for the memberInfo of another member.
 	infoTimeout = 2 * time.Second
 )
@@ -29,6 +31,8 @@
 	InitialMembership consensus.Membership `cbor:"3,keyasint,omitempty"`
 	// ConfiguredFounders are the node ids of the founders in the replica's settings.
 	ConfiguredFounders []string `cbor:"4,keyasint,omitempty"`
+	// Coordinator is the founder that is to found the group, according to this replica.
+	Coordinator string `cbor:"5,keyasint,omitempty"`
 }
 
 // handleInfo answers with the memberInfo of this replica.
@@ -43,7 +47,7 @@
 func (g *Group) info() memberInfo {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	info := memberInfo{ID: g.store.ID(), Blank: g.blank, InitialMembership: g.initialMembership}
+	info := memberInfo{ID: g.store.ID(), Blank: g.blank, InitialMembership: g.initialMembership, Coordinator: g.coordinator}
 	if r := g.replica.Load(); r != nil && r.Status().Last > 0 {
 		info.Blank = false
 	}
@@ -87,14 +91,14 @@
 }
 
 // found starts the replica of a blank disk once it is known whether the group exists. Each disk has
-// a random replica id, so the founders have to learn each other's ids first. The founder with the
-// lowest node id sets the initial membership once all founders are reachable and blank, and the
-// others adopt it. A founder that has lost its disk finds that the group exists without its new
-// replica id, and waits to be added: it neither founds a second group nor takes part under its old
-// id.
+// a random replica id, so the founders have to learn each other's ids first. The coordinator sets the
+// initial membership, and the others adopt it; see foundingView.plan. A founder that has lost its disk after
+// that finds that the group exists without its new replica id, and waits to be added: it neither founds a
+// second group nor takes part under its old id.
 func (g *Group) found(ctx context.Context) {
+	absentSince := time.Time{}
 	for lastLogged := ""; ; {
-		founders, exists, err := g.findFounders(ctx)
+		founders, exists, err := g.findFounders(ctx, &absentSince)
 		if err == nil {
 			if exists && founders == nil {
 				g.log.Info("the group exists; this replica waits to be added", "replica", g.store.ID().String())
@@ -118,47 +122,53 @@
 	}
 }
 
+// askFounders asks the other founders for their state, by node id.
+func (g *Group) askFounders(ctx context.Context) map[string]founderState {
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	states := map[string]founderState{}
+	for _, f := range g.founders {
+		if f.id == g.self.id {
+			continue
+		}
+		asking.Go(func() {
+			info, err := g.fetchMemberInfo(ctx, f.id, f.linkAddr)
+			mu.Lock()
+			defer mu.Unlock()
+			states[f.id] = founderState{info, err}
+		})
+	}
+	asking.Wait()
+	return states
+}
+
 // findFounders asks the other founders for their state. It returns the initial membership to start
 // the replica with, and whether the group exists. The membership is nil if the group exists and this
 // replica is not in its initial membership. The error names what still prevents a decision.
-func (g *Group) findFounders(ctx context.Context) (founders consensus.Membership, exists bool, err error) {
-	members := consensus.Membership{{ID: g.store.ID(), Addr: g.self.String(), Voter: true}}
-	var obstacle error
+// absentSince is since when founders have been out of reach; it is updated.
+func (g *Group) findFounders(ctx context.Context, absentSince *time.Time) (founders consensus.Membership, exists bool, err error) {
+	view := foundingView{self: g.self, selfID: g.store.ID(), founders: g.founders, others: g.askFounders(ctx)}
 	for _, f := range g.founders {
-		if f.id == g.self.id {
+		state, asked := view.others[f.id]
+		if !asked || state.err != nil || state.info.Blank {
 			continue
 		}
-		info, err := g.fetchMemberInfo(ctx, f.id, f.linkAddr)
-		switch {
-		case err != nil:
-			obstacle = err
-			continue
-		case !info.Blank && info.InitialMembership.IsVoter(g.store.ID()):
-			return info.InitialMembership, true, nil
-		case !info.Blank:
+		if !state.info.InitialMembership.IsVoter(g.store.ID()) {
 			return nil, true, nil
-		case !g.sameFounders(info.ConfiguredFounders):
-			obstacle = fmt.Errorf("controld: %s has other founders in its settings: %q", f.id, info.ConfiguredFounders)
-			continue
 		}
-		members = append(members, consensus.Member{ID: info.ID, Addr: f.String(), Voter: true})
+		return state.info.InitialMembership, true, nil
 	}
-	first := slices.MinFunc(g.founders, func(a, b address) int { return cmp.Compare(a.id, b.id) })
 	switch {
-	case obstacle != nil:
-		return nil, false, obstacle
-	case first.id != g.self.id:
-		return nil, false, fmt.Errorf("controld: %s has not founded the group yet", first.id)
+	case view.absent() == nil:
+		*absentSince = time.Time{}
+	case absentSince.IsZero():
+		*absentSince = time.Now()
+	default:
+		view.mayLeaveOut = g.selfRepair && time.Since(*absentSince) >= absenceTimeout
 	}
-	slices.SortFunc(members, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return members, false, nil
-}
-
-func (g *Group) sameFounders(ids []string) bool {
-	own := make([]string, len(g.founders))
-	for i, f := range g.founders {
-		own[i] = f.id
-	}
-	slices.Sort(own)
-	return slices.Equal(own, slices.Sorted(slices.Values(ids)))
+	coordinator, members, err := view.plan()
+	g.mu.Lock()
+	g.coordinator = coordinator
+	g.mu.Unlock()
+	return members, false, err
 }
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -38,13 +38,16 @@
 // Group replicates the configuration by consensus between the members of the
 // control group. It implements Replication and server.MemberChanger.
 type Group struct {
-	self      address
-	founders  []address // empty: join an existing group
-	log       *slog.Logger
-	machine   *control.Machine
-	dialer    link.Dialer
-	transport *replica.LinkTransport
-	store     *loadedStore
+	self     address
+	founders []address // empty: join an existing group
+	// selfRepair says that members are added without an operator, so that the group can be founded
+	// without one that is absent.
+	selfRepair bool
+	log        *slog.Logger
+	machine    *control.Machine
+	dialer     link.Dialer
+	transport  *replica.LinkTransport
+	store      *loadedStore
 
 	replica    atomic.Pointer[replica.Replica] // nil until started
 	done       chan struct{}
@@ -54,6 +57,7 @@
 
 	mu                sync.Mutex
 	blank             bool                 // the disk has never belonged to a group
+	coordinator       string               // see memberInfo
 	initialMembership consensus.Membership // empty if it is not known
 
 	freshness  freshness
@@ -86,12 +90,16 @@
 		return nil, err
 	}
 	stored, err := store.Load()
+	if err == nil && stored.Blank() {
+		founders, err = keepFounders(store, p.Settings.Founders)
+	}
 	if err != nil {
 		return nil, errors.Join(err, store.Close())
 	}
 	g := &Group{
 		self:     p.Settings.address(),
 		founders: founders, log: log, machine: p.Machine, dialer: p.Dialer,
+		selfRepair: p.Settings.SelfRepair,
 		transport:  replica.NewLinkTransport(p.Dialer, linkAddrOf, log),
 		store:      &loadedStore{store, stored},
 		done:       make(chan struct{}),
@@ -125,6 +133,23 @@
 	return g, nil
 }
 
+// keepFounders stores the founders of a first start. A process that restarts before the group is founded is
+// not told them again, and takes them from there: otherwise the others would wait for it in vain.
+func keepFounders(store *disk.Store, founders []string) ([]address, error) {
+	kept, err := store.Founders()
+	switch {
+	case err != nil:
+		return nil, err
+	case len(founders) == 0:
+		founders = kept
+	case !slices.Equal(founders, kept):
+		if err := store.SaveFounders(founders); err != nil {
+			return nil, err
+		}
+	}
+	return parseFounders(founders)
+}
+
 // start starts the replica. founders is the initial membership of the group if this replica is one
 // of its founders, else nil.
 func (g *Group) start(founders consensus.Membership) error {
