Give up the idle connections to a peer whose stream got no answer

Connections between processes may go silent for good while new ones work. Each exchange then takes another one from the pool and waits for its own timeout. Attempts, consensus and questions to control replace the pool after such a failure; full exchanges of membership, pulls of the configuration and relays do not.

The dialer does it itself now: when a stream is reset that has been open for 100 ms without a frame from the peer, connections that have been idle since before it was opened are closed. Those used meanwhile have shown that they work.

--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -14,6 +14,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/godwithub/godwithub/link"
@@ -31,6 +32,9 @@
 	listenerIdleTimeout = 90 * time.Second
 	// dialTimeout bounds making a connection, including its TLS handshake.
 	dialTimeout = 2 * time.Second
+	// silentAfter is how long a stream has to have been open without an answer, when it is reset, for the
+	// idle connections to the same peer to be given up.
+	silentAfter = 100 * time.Millisecond
 	// maxDialing bounds the connections to one peer that are being made at the same time.
 	maxDialing = 4
 	// handshakeTimeout bounds the TLS handshake at the listener.
@@ -148,7 +152,14 @@
 			return nil, fmt.Errorf("tlslink: dial %s: %w", addr, err)
 		}
 	}
-	return &stream{FrameWriter: link.NewFrameWriter(c), conn: c, onClose: func() { d.release(addr, c) }}, nil
+	s := &stream{FrameWriter: link.NewFrameWriter(c), conn: c, onClose: func() { d.release(addr, c) }}
+	opened := time.Now()
+	s.onReset = func() {
+		if !s.hasRead.Load() && time.Since(opened) >= silentAfter {
+			d.closeIdleOf(addr, opened)
+		}
+	}
+	return s, nil
 }
 
 // acquire returns an idle connection, or a channel that will deliver a connection or an error.
@@ -269,6 +280,27 @@
 	p.idle = nil
 }
 
+// closeIdleOf closes the connections to a peer that have been idle since before a time. It is called when a
+// stream got no answer: what has made its connection silent may have done the same to them.
+func (d *Dialer) closeIdleOf(addr string, before time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.peers[addr]; p != nil {
+		d.closeOldestIdle(p, before)
+	}
+}
+
+// closeOldestIdle closes the connections of p that have been idle since before a time. d.mu must be held.
+func (d *Dialer) closeOldestIdle(p *peer, before time.Time) {
+	n := 0
+	for n < len(p.idle) && p.idle[n].since.Before(before) {
+		p.idle[n].conn.closeTCP()
+		n++
+	}
+	p.idle = slices.Delete(p.idle, 0, n)
+	d.idle -= n
+}
+
 func (d *Dialer) runIdleCloser() {
 	tick := time.NewTicker(idleTimeout / 4)
 	defer tick.Stop()
@@ -286,13 +318,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for addr, p := range d.peers {
-		n := 0
-		for n < len(p.idle) && p.idle[n].since.Before(limit) {
-			p.idle[n].conn.closeTCP()
-			n++
-		}
-		p.idle = slices.Delete(p.idle, 0, n)
-		d.idle -= n
+		d.closeOldestIdle(p, limit)
 		if len(p.idle)+len(p.waiters)+p.dialing == 0 {
 			delete(d.peers, addr)
 		}
@@ -429,11 +455,19 @@
 	*link.FrameWriter
 	conn *conn
 	once sync.Once
+	// hasRead is set once a frame was read.
+	hasRead atomic.Bool
 	// onClose is called by Close, and onReset by Reset unless it is nil. Only one of them is called.
 	onClose, onReset func()
 }
 
-func (s *stream) ReadFrame() (link.Frame, error) { return s.conn.reader.ReadFrame() }
+func (s *stream) ReadFrame() (link.Frame, error) {
+	f, err := s.conn.reader.ReadFrame()
+	if err == nil && !s.hasRead.Load() {
+		s.hasRead.Store(true)
+	}
+	return f, err
+}
 
 func (s *stream) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
 
