Join through several seeds and bound each step of a full exchange

A node that starts asks one seed after the other, and waits up to 10 s for one that accepts the connection and does not answer, or 2 s for one without power. A silent partner also held up all other full exchanges for 10 s.

--- a/gossip/streams.go
+++ b/gossip/streams.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,6 +33,9 @@
 	// checkInterval is the mean time between two checks whether an exchange is due, and between two
 	// attempts of a node that knows no other live node.
 	checkInterval = time.Second
+	// chunkTimeout bounds the wait for a chunk. A partner that needs longer, or whose connection has gone
+	// silent, must not hold up the exchanges with others.
+	chunkTimeout = 2 * time.Second
 	// seedOdds is one over the probability that a periodic exchange goes to a seed, which reunites
 	// parts of a fleet that have forgotten each other.
 	seedOdds = 8
@@ -168,6 +172,7 @@
 	for n := 0; n < maxChunks; n++ {
 		payload := first
 		if n > 0 || first == nil {
+			s.SetReadDeadline(time.Now().Add(chunkTimeout))
 			f, err := s.ReadFrame()
 			if err != nil {
 				return nil, err
@@ -268,6 +273,9 @@
 // done.
 func (g *Gossip) runExchanges(ctx context.Context) {
 	due := time.Now()
+	if g.joinThroughSeeds(ctx) {
+		due = due.Add(g.cfg.ExchangeInterval/2 + rand.N(g.cfg.ExchangeInterval))
+	}
 	wait := time.NewTimer(0)
 	defer wait.Stop()
 	retry := newSeedRetry()
@@ -290,12 +298,44 @@
 	}
 }
 
-func (g *Gossip) runExchange(ctx context.Context, addr string) {
+// joinThroughSeeds runs full exchanges with the seeds, in random order, until one succeeds. A seed that does not
+// answer in time is not waited for: the next one is asked beside it. It reports whether one has succeeded.
+func (g *Gossip) joinThroughSeeds(ctx context.Context) bool {
+	seeds := slices.DeleteFunc(slices.Clone(g.cfg.Seeds), func(s string) bool { return s == g.Local().LinkAddr })
+	rand.Shuffle(len(seeds), func(a, b int) { seeds[a], seeds[b] = seeds[b], seeds[a] })
+	results := make(chan error, len(seeds))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for started, ended := 0, 0; ended < len(seeds); {
+		select {
+		case <-next.C:
+			seed := seeds[started]
+			go func() { results <- g.runExchange(ctx, seed) }()
+			if started++; started < len(seeds) {
+				next.Reset(seedPatience)
+			}
+		case err := <-results:
+			if err == nil {
+				return true
+			}
+			if ended++; ended == started {
+				next.Reset(0)
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+func (g *Gossip) runExchange(ctx context.Context, addr string) error {
 	g.counters.Exchanges.Add(1)
-	if err := g.exchange(ctx, addr); err != nil && ctx.Err() == nil {
+	err := g.exchange(ctx, addr)
+	if err != nil && ctx.Err() == nil {
 		g.counters.ExchangesFailed.Add(1)
 		g.log.Debug("full exchange failed", "addr", addr, "err", err)
 	}
+	return err
 }
 
 // partner returns the link address of the node to run a full exchange with. It returns one if a
