Let the soak's upstreams answer with errors that do not end, and check the memory of nodes

Error answers of a stand-in may now go on until the client closes, and at its end a soak checks that no node has used more than 184 MB, the memory of the smallest VMs.

--- a/scenario/doc.go
+++ b/scenario/doc.go
@@ -12,6 +12,7 @@
 //	proc freeze NAME | proc thaw NAME    SIGSTOP | SIGCONT
 //	proc restart NAME                    start it again with the same flags
 //	proc keep NAME                       restart it whenever it exits unless the script stops it
+//	proc memory NAME MEGABYTES           fail if it has used more memory since its start
 //	proc exits NAME CODE TIMEOUT         the process exits by itself with CODE
 //	proc wipe NAME                       remove $WORK/data/NAME
 //	relay start NAME LISTEN TARGET       forward TCP and UDP from LISTEN to TARGET
--- a/scenario/process.go
+++ b/scenario/process.go
@@ -79,6 +79,8 @@
 	case "keep":
 		go w.keep(p)
 		return nil
+	case "memory":
+		return p.checkPeakMemory(rest)
 	}
 	return scriptErrorf("proc %s: unknown action", action)
 }
--- a/scenario/soak.go
+++ b/scenario/soak.go
@@ -29,6 +29,8 @@
 	// soakGap. A fault lasts up to soakLength.
 	soakGap    = 900 * time.Millisecond
 	soakLength = 4 * time.Second
+	// soakMemoryMB is the memory of the smallest VMs that run a node.
+	soakMemoryMB = 184
 	// soakTail is how long the load continues after the last fault has ended.
 	soakTail = 3 * time.Second
 )
@@ -66,6 +68,7 @@
 	upstreamFaults = []soakFault{
 		{`fault uN '{"errorShare":0.5,"health":"healthy"}'`, "fault uN none"},
 		{`fault uN '{"errorShare":0.3,"shortShare":0.1,"crossShare":0.1,"lateShare":0.05,"lateMs":200,"health":"healthy"}'`, "fault uN none"},
+		{`fault uN '{"errorShare":0.5,"endless":true,"health":"healthy"}'`, "fault uN none"},
 		{`fault uN '{"slowness":20,"flapMs":700}'`, "fault uN none"},
 		{`fault uN '{"freeze":true}'`, "fault uN none"},
 		{"proc freeze uN", "proc thaw uN"},
@@ -182,5 +185,8 @@
 		fmt.Fprintf(b, "report main total.%s == 0\n", field)
 	}
 	fmt.Fprint(b, "report main total.answered > 0\nruns max 1 path=/orders\nruns not-run main\nruns answered main\nfleet steady\n")
+	for n := 1; n <= s.Nodes; n++ {
+		fmt.Fprintf(b, "proc memory n%d %d\n", n, soakMemoryMB)
+	}
 	fmt.Fprint(b, "load run after @nodes -rate 100 -duration 3s -kind name=browse,path=/browse/after -min-answered 0.99\n")
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -24,6 +24,8 @@
 	ErrorShare  float64 `json:"errorShare,omitempty"`
 	ErrorPath   string  `json:"errorPath,omitempty"`
 	ErrorStatus int     `json:"errorStatus,omitempty"` // 0: 500
+	// Endless makes the bodies of these errors go on until the client closes the connection.
+	Endless bool `json:"endless,omitempty"`
 	// Slowness multiplies service times. 0 counts as 1.
 	Slowness float64 `json:"slowness,omitempty"`
 	// Freeze holds every request until the fault is removed, the deadline passes or the client closes
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -210,6 +210,12 @@
 	h.Set(HeaderRequestChecksum, req.requestChecksum)
 	h.Set(HeaderUpstream, u.settings.ID)
 	u.closeIfDraining(w)
+	if status >= http.StatusBadRequest && faults.Endless {
+		h.Del("Content-Length")
+		w.WriteHeader(status)
+		writeEndless(w)
+		return
+	}
 	w.WriteHeader(status)
 	if withProbability(faults.ShortShare) {
 		w.Write(body[:len(body)/2])
@@ -221,6 +227,15 @@
 	w.Write(body)
 }
 
+// writeEndless writes a body until the client closes the connection.
+func writeEndless(w io.Writer) {
+	for piece := make([]byte, 32<<10); ; {
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
+
 // closeIfDraining closes the connection after the answer, so that no client sends a request on an
 // idle connection while the process exits.
 func (u *Standin) closeIfDraining(w http.ResponseWriter) {
