Keep the place of a request whose server error was dropped, and test errors with a length

A retry keeps its place among first attempts if the failed run took less than 50 ms. A dropped server error reported no such time, so that its retry waited behind all first attempts (TestEndlessServerErrorKeepsTheRequestsPlace, fails before). The attempt now ends with the time until the head came. The limit on blocked writes counts on the steady clock.

TestEndlessServerErrorsAreRetried set the length after the head was sent, so that two of its cases were like the first. They have one now, and a fifth sends no byte of its body.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -21,7 +21,9 @@
 	requestID string
 	// limit resets the stream after the deadline.
 	limit *time.Timer
-	// writingSince is when the present write began, in Unix nanoseconds; 0: none.
+	// created is when the writer was made, and writingSince how long after that the present write began;
+	// 0: none.
+	created      time.Time
 	writingSince atomic.Int64
 
 	mu        sync.Mutex
@@ -32,7 +34,10 @@
 }
 
 func newAnswerWriter(s link.Stream, a *attempt, head *wire.AttemptHead, deadline time.Time) *answerWriter {
-	return &answerWriter{stream: s, attempt: a, requestID: head.RequestID, limit: time.AfterFunc(time.Until(deadline)+writeGrace, s.Reset)}
+	return &answerWriter{
+		stream: s, attempt: a, requestID: head.RequestID, created: time.Now(),
+		limit: time.AfterFunc(time.Until(deadline)+writeGrace, s.Reset),
+	}
 }
 
 // write calls f, which writes to the stream, unless an earlier write has failed. w.mu is held.
@@ -40,7 +45,7 @@
 	if w.err != nil {
 		return
 	}
-	w.writingSince.Store(time.Now().UnixNano())
+	w.writingSince.Store(int64(max(time.Since(w.created), 1)))
 	defer w.writingSince.Store(0)
 	w.err = f(w.stream)
 }
@@ -48,7 +53,8 @@
 // resetIfBlocked resets the stream if a write has been blocked for so long that the ingress has given the
 // stream up.
 func (w *answerWriter) resetIfBlocked() {
-	if since := w.writingSince.Load(); since != 0 && time.Since(time.Unix(0, since)) >= wire.SilenceTimeout {
+	since := time.Duration(w.writingSince.Load())
+	if since != 0 && time.Since(w.created)-since >= wire.SilenceTimeout {
 		w.stream.Reset()
 	}
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -68,8 +68,10 @@
 
 // run makes the attempt. If a route fails, the attempt is sent again over the next one, unless part
 // of its answer has been passed on to the caller. The dispatcher runs an attempt once, even if it
-// arrives several times. The returned AnswerEnd is nil if the dispatcher sent none.
+// arrives several times. The returned AnswerEnd is nil if the dispatcher sent none; it has no load if the
+// end was not awaited.
 func (a *attempt) run(ctx context.Context) (outcome.Ended, *wire.AnswerEnd) {
+	began := time.Now()
 	defer a.resetFailedStreams()
 	for _, r := range a.routes() {
 		end, err := a.tryRoute(ctx, r)
@@ -80,7 +82,8 @@
 			return a.interruptedOutcome(ctx), nil
 		}
 		if errors.Is(err, errErrorBody) {
-			return outcome.MayHaveRun(outcome.ReasonLongError), nil
+			// The upstream had failed the attempt when the head of its answer came.
+			return outcome.MayHaveRun(outcome.ReasonLongError), &wire.AnswerEnd{ServedMs: a.answer.headAt.Sub(began).Milliseconds()}
 		}
 		a.in.log.Debug("route to dispatcher failed", "request", a.rq.id, "node", a.upstream.Node, "route", routeNames[r], "fault", err)
 		if a.answer.begun {
--- a/ingress/endless_test.go
+++ b/ingress/endless_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -12,20 +14,42 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/dispatch/httpconn"
+	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/link"
+	"github.com/godwithub/godwithub/logging"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
 )
 
-// writeUntilClosed writes pieces with pauses between them until the reader closes the connection.
-func writeUntilClosed(w http.ResponseWriter, piece []byte, pause time.Duration) {
-	for {
-		if _, err := w.Write(piece); err != nil {
+// endlessBody is a body that goes on until the client closes the connection.
+type endlessBody struct {
+	length string // announced; empty: none
+	piece  []byte
+	pause  time.Duration // between two pieces
+}
+
+// answer answers with a server error that has the body.
+func (b endlessBody) answer(w http.ResponseWriter, r *http.Request) {
+	if b.length != "" {
+		w.Header().Set("Content-Length", b.length)
+	}
+	w.WriteHeader(http.StatusInternalServerError)
+	// The server notices the end of the connection once the body of the request has been read.
+	io.Copy(io.Discard, r.Body)
+	for r.Context().Err() == nil {
+		if _, err := w.Write(b.piece); err != nil && err != http.ErrContentLength {
 			return
 		}
 		http.NewResponseController(w).Flush()
-		time.Sleep(pause)
+		time.Sleep(b.pause)
 	}
 }
 
+// fastEndless is an endless body that comes as fast as it is read.
+var fastEndless = endlessBody{piece: make([]byte, 64<<10)}
+
 // peakHeap calls f and returns the largest growth of the heap meanwhile, in bytes.
 func peakHeap(f func()) uint64 {
 	var m runtime.MemStats
@@ -49,27 +73,19 @@
 // back, and keep their requests from being retried.
 func TestEndlessServerErrorsAreRetried(t *testing.T) {
 	const requests, maxHeap = 40, 64 << 20
-	for name, write := range map[string]func(http.ResponseWriter){
-		"as fast as read": func(w http.ResponseWriter) { writeUntilClosed(w, make([]byte, 64<<10), 0) },
-		"with a length": func(w http.ResponseWriter) {
-			w.Header().Set("Content-Length", strconv.Itoa(1<<40))
-			writeUntilClosed(w, make([]byte, 64<<10), 0)
-		},
-		"one byte a time": func(w http.ResponseWriter) { writeUntilClosed(w, []byte("x"), 20*time.Millisecond) },
-		"in a small body": func(w http.ResponseWriter) {
-			w.Header().Set("Content-Length", "1000")
-			writeUntilClosed(w, []byte("x"), 20*time.Millisecond)
-		},
+	for name, body := range map[string]endlessBody{
+		"as fast as read": fastEndless,
+		"with a length":   {length: strconv.Itoa(1 << 40), piece: make([]byte, 64<<10)},
+		"one byte a time": {piece: []byte("x"), pause: 20 * time.Millisecond},
+		"in a small body": {length: "1000", piece: []byte("x"), pause: 20 * time.Millisecond},
+		"no byte":         {length: "1000", pause: 20 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newTestFleet(t, make([]float64, 8), 20, 10*time.Millisecond, func(f *testFleet) {
 				f.idempotent, f.retryRatio, f.retrySlack = true, 1, 1000
 			})
 			for _, n := range f.nodes[:2] {
-				n.fault = func(w http.ResponseWriter) {
-					w.WriteHeader(http.StatusInternalServerError)
-					write(w)
-				}
+				n.fault = body.answer
 			}
 			var results []callerResult
 			heap := peakHeap(func() { results = f.load(requests, time.Second) })
@@ -87,7 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newTestFleet(t, make([]float64, 2), 5, 0, func(f *testFleet) { f.idempotent = idempotent })
 			for _, n := range f.nodes {
-				n.fault = func(w http.ResponseWriter) {
+				n.fault = func(w http.ResponseWriter, _ *http.Request) {
 					w.WriteHeader(http.StatusInternalServerError)
 					w.Write([]byte(body))
 				}
@@ -118,12 +134,11 @@
 	})
 	var mu sync.Mutex
 	hits := 0
-	f.nodes[0].fault = func(w http.ResponseWriter) {
+	f.nodes[0].fault = func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
 		hits++
 		mu.Unlock()
-		w.WriteHeader(http.StatusInternalServerError)
-		writeUntilClosed(w, make([]byte, 64<<10), 0)
+		fastEndless.answer(w, r)
 	}
 	results := f.load(100, time.Second)
 	n, _ := answered(results)
@@ -137,7 +152,7 @@
 // makes the path to the node of its upstream count as failed.
 func TestLongHeadIsNoPathFailure(t *testing.T) {
 	f := newTestFleet(t, make([]float64, 2), 5, 0, func(f *testFleet) { f.idempotent = true })
-	f.nodes[0].fault = func(w http.ResponseWriter) {
+	f.nodes[0].fault = func(w http.ResponseWriter, _ *http.Request) {
 		// A short field takes more bytes in a frame than in HTTP.
 		for range httpconn.MaxHeadBytes/len("A: bc\r\n") - 100 {
 			w.Header().Add("A", "bc")
@@ -167,3 +182,34 @@
 	}
 	assert.Equal(t, len(in.trace.ring), 10)
 }
+
+// Guards against the retry of an endless server error that waits behind all first attempts: the upstream failed
+// at once and used no capacity.
+func TestEndlessServerErrorKeepsTheRequestsPlace(t *testing.T) {
+	mux := link.NewMux(logging.Discard())
+	var heads []wire.AttemptHead
+	mux.Handle(wire.FrameAttempt, func(_ context.Context, s link.Stream, first link.Frame) {
+		defer s.Close()
+		var head wire.AttemptHead
+		assert.Check(t, wire.Decode(first.Payload, &head))
+		heads = append(heads, head)
+		wire.Write(s, wire.FrameAck, wire.Ack{Incarnation: 1})
+		if len(heads) > 1 {
+			wire.Write(s, wire.FrameAnswerEnd, &wire.AnswerEnd{RequestID: head.RequestID, Outcome: outcome.NotRun, Reason: outcome.ReasonDeadline})
+			return
+		}
+		wire.Write(s, wire.FrameAnswer, &wire.AnswerHead{RequestID: head.RequestID, Status: http.StatusInternalServerError, BodyBytes: -1})
+		for s.WriteFrame(wire.FrameData, make([]byte, 32<<10)) == nil {
+		}
+	})
+	v := testView()
+	v.Config.Kinds["order"].Idempotent = true
+	v.Upstreams = map[string][]board.Upstream{"shop": nil}
+	for _, id := range []fleet.UpstreamID{"u1", "u2"} {
+		v.Upstreams["shop"] = append(v.Upstreams["shop"], board.Upstream{Upstream: fleet.Upstream{ID: id, Service: "shop", Slots: 1}, Node: "n", LinkAddr: "self"})
+	}
+	in := New(Config{Log: logging.Discard(), View: func() *board.View { return v }, Dialer: &link.LocalDialer{Addr: "self", Name: "a", Mux: mux}})
+	in.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://shop.example/orders", nil))
+	assert.Equal(t, len(heads), 2)
+	assert.Assert(t, heads[1].MayHaveRun && !heads[1].Retry)
+}
--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -59,7 +59,7 @@
 	// leaving makes all answers say that the upstream leaves. It is not announced.
 	leaving atomic.Bool
 	// fault answers all requests if it is set.
-	fault   func(http.ResponseWriter)
+	fault   http.HandlerFunc
 	process atomic.Pointer[testProcess]
 
 	mu       sync.Mutex
@@ -151,7 +151,7 @@
 		return
 	}
 	if n.fault != nil {
-		n.fault(w)
+		n.fault(w, r)
 		return
 	}
 	time.Sleep(f.work)
