--- a/distribute/lastnode_test.go
+++ b/distribute/lastnode_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +54,43 @@
 	}
 }
 
+// lastNodeSeedsEnvVar is the environment variable with the number of seeds of each case of
+// TestLastNodeIsEarlyAtEachSize, for runs by hand.
+const lastNodeSeedsEnvVar = "GODWITHUB_LASTNODE_SEEDS"
+
+// Guards against changes that reach the last node late when the news of them is lost, changes come in storms, and
+// the fleet is large.
+func TestLastNodeIsEarlyAtEachSize(t *testing.T) {
+	const storm, gap = 5, 60 * time.Millisecond
+	for _, size := range []struct{ nodes, seeds int }{{30, 10}, {100, 3}, {300, 1}} {
+		seeds := size.seeds
+		if text := os.Getenv(lastNodeSeedsEnvVar); text != "" {
+			var err error
+			seeds, err = strconv.Atoi(text)
+			assert.NilError(t, err, lastNodeSeedsEnvVar)
+		}
+		for _, loss := range []float64{0.1, 0.3, 0.5} {
+			worst := time.Duration(0)
+			for seed := range uint64(seeds) {
+				synctest.Test(t, func(t *testing.T) {
+					net, control, source, nodes := newFleet(t, size.nodes, 2)
+					defer net.stop()
+					net.newsLoss = loss
+					net.setCut(cutPairs(rand.New(rand.NewPCG(seed, 2)), len(nodes), loss/2))
+					var v resource.Version
+					for range storm {
+						v = applyChange(t, control, source)
+						time.Sleep(gap)
+					}
+					worst = max(worst, waitForVersion(t, time.Minute, v, nodes...)+gap)
+				})
+			}
+			t.Logf("%d nodes, %.0f%% of the news lost, %.0f%% of the paths cut: the last node after %v at most", size.nodes, 100*loss, 50*loss, worst)
+			assert.Check(t, worst <= lastNodeBound)
+		}
+	}
+}
+
 // Guards against a node that refuses a request although control knows a newer configuration: no news has
 // reached the node. Control then goes away, which must not hold further requests.
 func TestConfirmBringsTheNewestVersion(t *testing.T) {
--- a/distribute/net_test.go
+++ b/distribute/net_test.go
@@ -27,6 +27,8 @@
 	cut   func(from, to string) bool // whether everything sent between two addresses is lost
 	// refused reports whether an address refuses new streams.
 	refused func(to string) bool
+	// newsLoss is the share of the messages of membership that are lost.
+	newsLoss float64
 }
 
 // host is a control replica or a node of the network.
@@ -208,7 +210,7 @@
 	self := m.self
 	m.mu.Unlock()
 	for _, other := range others[:min(count, len(others))] {
-		if !m.network.silent(m.addr, other.addr) {
+		if !m.network.silent(m.addr, other.addr) && rand.Float64() >= m.network.newsLoss {
 			delay := time.Millisecond + rand.N(30*time.Millisecond)
 			time.AfterFunc(delay, func() {
 				other.receive(self)
