Keep departures on the disks of control VMs

Weighed: a second announcement before an upstream counts after such a start, which takes every upstream out for a heartbeat longer.

Control VMs save the departures that membership keeps, 20 ms after a change and outside of the request path, and load them at their start; the node is told in its first full exchange. One of them is always among those that are asked to acknowledge a departure. TestDepartureOutlivesTheFleet, TestDepartureFile.

--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -111,7 +112,8 @@
 		GossipAddr:    p.Settings.GossipAddr,
 		Control:       true,
 	}
-	g, err := gossip.New(gossip.Config{Seeds: p.Settings.Seeds}, self, p.Ring.Gossip, f.dialer, p.Log)
+	departures := departureFile{filepath.Join(p.Settings.DataDir, departureFileName)}
+	g, err := gossip.New(gossip.Config{Seeds: p.Settings.Seeds, Departures: departures}, self, p.Ring.Gossip, f.dialer, p.Log)
 	if err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,13 +92,13 @@
 // for the process of the upstream that started at StartMs, and for earlier ones. The other nodes keep it for
 // the node of its VM, which would forget it with a restart.
 type Departure struct {
-	Upstream UpstreamID
+	Upstream UpstreamID `cbor:"1,keyasint"`
 	// StartMs is the start of the upstream's process in Unix milliseconds.
-	StartMs int64
+	StartMs int64 `cbor:"2,keyasint,omitempty"`
 	// Sequence is the sequence number of the announcement in which the upstream said that it drains.
-	Sequence uint64
+	Sequence uint64 `cbor:"3,keyasint,omitempty"`
 	// Gone is set once the upstream has left.
-	Gone bool
+	Gone bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Supersedes reports whether d says more than old, a departure of the same upstream.
@@ -111,3 +111,10 @@
 	}
 	return d.Sequence > old.Sequence
 }
+
+// KeptDeparture is a departure that a member of the fleet keeps for a node.
+type KeptDeparture struct {
+	Node       NodeID    `cbor:"1,keyasint"`
+	Departure  Departure `cbor:"2,keyasint"`
+	RecordedAt time.Time `cbor:"3,keyasint"` // when the node recorded it, by the clock of the member
+}
--- a/gossip/config.go
+++ b/gossip/config.go
@@ -69,6 +69,9 @@
 	RepairInterval time.Duration
 	// ExchangeTimeout is the timeout of one full exchange. Default 10 s.
 	ExchangeTimeout time.Duration
+	// Departures keeps the departures of all nodes across restarts of this member. It is nil for members
+	// without a disk.
+	Departures DepartureStore
 	// Seeds are the link addresses (IP:port) of nodes through which this node joins the fleet. A
 	// node that reaches no seed starts alone and keeps trying.
 	Seeds []string
--- a/gossip/departure.go
+++ b/gossip/departure.go
@@ -19,7 +19,7 @@
 	// confirmations is how many members have to acknowledge a departure of this node.
 	confirmations = 2
 	// confirmTargets is how many members of the node's region are asked at a time to acknowledge a
-	// departure. One more is in another region.
+	// departure. One more is in another region, and one is a control VM.
 	confirmTargets = 3
 )
 
@@ -38,6 +38,8 @@
 	return departureEntry{AgeMs: uint64(max(age, 0).Milliseconds()), Upstream: d.Upstream, StartMs: d.StartMs, Sequence: d.Sequence, Gone: d.Gone}
 }
 
+func (e departureEntry) age() time.Duration { return time.Duration(e.AgeMs) * time.Millisecond }
+
 func (e departureEntry) departure() fleet.Departure {
 	return fleet.Departure{Upstream: e.Upstream, StartMs: e.StartMs, Sequence: e.Sequence, Gone: e.Gone}
 }
@@ -59,7 +61,7 @@
 	if old, known := d[e.Upstream]; known && !e.departure().Supersedes(old.Departure) {
 		return false
 	}
-	d[e.Upstream] = keptDeparture{e.departure(), now.Add(-time.Duration(e.AgeMs) * time.Millisecond)}
+	d[e.Upstream] = keptDeparture{e.departure(), now.Add(-e.age())}
 	if len(d) > maxDepartures {
 		d.dropOldest()
 	}
@@ -109,6 +111,7 @@
 func (c *core) recordDeparture(now time.Time, d fleet.Departure) (number uint64) {
 	e := toDepartureEntry(d, 0)
 	if c.self.departures.add(now, e) {
+		c.departuresChanged = true
 		c.queueDeparture(c.self, e)
 		c.push(now, true)
 	}
@@ -130,13 +133,26 @@
 	if conf == nil {
 		return
 	}
-	for _, m := range append(c.chooseSameRegion(confirmTargets), c.chooseOtherRegions(1)...) {
+	targets := append(c.chooseSameRegion(confirmTargets), c.chooseOtherRegions(1)...)
+	targets = append(targets, c.chooseRandom(c.controls(), 1, "")...)
+	for _, m := range targets {
 		b := c.newBuilder(kindPing, number, "")
 		b.add(conf.raw)
 		c.enqueuePacket(m.id, m.meta.GossipAddr, b)
 	}
 }
 
+// controls returns the live control VMs. They have a disk, and keep departures there.
+func (c *core) controls() []*member {
+	var out []*member
+	for _, m := range c.peers {
+		if m.live() && m.meta.Control {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // confirmed reports whether enough members have acknowledged a departure.
 func (c *core) confirmed(number uint64) bool {
 	conf := c.confirming[number]
@@ -157,6 +173,7 @@
 func (c *core) applyDepartures(now time.Time, m *member, entries []departureEntry) {
 	for _, e := range entries {
 		if m.departures.add(now, e) {
+			c.departuresChanged = true
 			c.queueDeparture(m, e)
 		}
 	}
@@ -171,6 +188,34 @@
 	}
 }
 
+// keptDepartures returns the departures of all members.
+func (c *core) keptDepartures(now time.Time) []fleet.KeptDeparture {
+	var out []fleet.KeptDeparture
+	for _, m := range c.members {
+		for _, e := range m.departures.entries(now) {
+			out = append(out, fleet.KeptDeparture{Node: m.id, Departure: e.departure(), RecordedAt: now.Add(-e.age())})
+		}
+	}
+	return out
+}
+
+// loadDepartures takes over departures that an earlier process of this member has kept. The clock may have
+// been set meanwhile.
+func (c *core) loadDepartures(now time.Time, list []fleet.KeptDeparture) {
+	for _, k := range list {
+		c.memberFor(now, k.Node).departures.add(now, toDepartureEntry(k.Departure, now.Sub(k.RecordedAt)))
+	}
+}
+
+// departuresOf returns a record with the departures of a node, or nil if there are none.
+func (c *core) departuresOf(now time.Time, id fleet.NodeID) *record {
+	m := c.members[id]
+	if m == nil || len(m.departures) == 0 {
+		return nil
+	}
+	return &record{Node: id, Departures: m.departures.entries(now)}
+}
+
 // takeRecalled returns the departures of this node that were recalled since the last call.
 func (c *core) takeRecalled() []fleet.Departure {
 	out := c.recalled
--- a/gossip/departure_test.go
+++ b/gossip/departure_test.go
@@ -129,3 +129,29 @@
 	}
 	assert.DeepEqual(t, recalled, []fleet.Departure{testDeparture})
 }
+
+// Guards against departures that are forgotten when all processes of the fleet end together: a member with a disk
+// keeps them, and passes them on before it knows the restarted node.
+func TestDepartureOutlivesTheFleet(t *testing.T) {
+	s := newSim(t, 8, 2, 5)
+	assert.Assert(t, s.recordDeparture(3, testDeparture, time.Second))
+	s.run(200 * time.Millisecond)
+	kept := s.nodes[0].keptDepartures(s.now)
+	for i := range s.nodes {
+		s.kill(i)
+	}
+	s.run(500 * time.Millisecond)
+	for i := range s.nodes {
+		s.start(i, 2)
+	}
+	s.nodes[0].loadDepartures(s.now, kept)
+	s.exchange(3, 0)
+	assert.DeepEqual(t, s.nodes[3].takeRecalled(), []fleet.Departure{testDeparture})
+	// Neither a clock that went back nor one that went ahead makes them last longer.
+	for _, step := range []time.Duration{-time.Hour, time.Hour} {
+		c := s.start(1, 2)
+		c.loadDepartures(s.now.Add(step), kept)
+		s.kill(1)
+		assert.Assert(t, len(c.keptDepartures(s.now.Add(step+departureRetention))) == 0)
+	}
+}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -33,9 +33,15 @@
 // whose records the other side should send.
 func (c *core) compareDigests(now time.Time, theirDigests []digest) (records []record, want []fleet.NodeID) {
 	listed := make(map[fleet.NodeID]bool, len(theirDigests))
-	for _, d := range theirDigests {
+	for i, d := range theirDigests {
 		listed[d.Node] = true
 		m := c.members[d.Node]
+		if i == 0 && (m == nil || !m.complete() || m.hash() == d.Hash) {
+			// The first one is the other side itself, which may have restarted.
+			if r := c.departuresOf(now, d.Node); r != nil {
+				records = append(records, *r)
+			}
+		}
 		switch {
 		case m == nil || !m.complete():
 			// The death of a member that is unknown here is old; see applyRecord.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -34,6 +34,8 @@
 	counters         *counters
 	wake             chan struct{} // signals that the next tick may be due earlier
 	exchangeRequests chan string   // link address of the node to run a full exchange with
+	// departuresChanged signals that departures have to be saved.
+	departuresChanged chan struct{}
 
 	mu   sync.Mutex
 	core *core
@@ -76,13 +78,16 @@
 		counters:         &counters{},
 		wake:             make(chan struct{}, 1),
 		exchangeRequests: make(chan string, 1),
-		events:           newEvents(),
-		recall:           newRecall(),
+
+		departuresChanged: make(chan struct{}, 1),
+		events:            newEvents(),
+		recall:            newRecall(),
 	}
 	if err := conn.SetReadBuffer(receiveBufferSize); err != nil {
 		g.log.Warn("cannot enlarge the receive buffer of the gossip socket", "err", err)
 	}
 	g.core = newCore(cfg, local, rand.Uint64(), time.Now(), g.counters)
+	g.loadDepartures()
 	return g, nil
 }
 
@@ -94,6 +99,7 @@
 	tasks.Go(func() { g.runTimer(ctx) })
 	tasks.Go(func() { g.runExchanges(ctx) })
 	tasks.Go(func() { g.events.run(ctx) })
+	tasks.Go(func() { g.saveDepartures(ctx) })
 	<-ctx.Done()
 	g.announceDead()
 	err := g.conn.Close()
@@ -108,6 +114,8 @@
 	f(g.core, time.Now())
 	packets, changed := g.core.takeOutput()
 	recalled := g.core.takeRecalled()
+	departuresChanged := g.core.departuresChanged
+	g.core.departuresChanged = false
 	sooner := g.core.nextTick().Before(before)
 	g.events.add(changed)
 	g.mu.Unlock()
@@ -121,6 +129,12 @@
 		g.sendPacket(p)
 	}
 	g.recall.deliver(recalled)
+	if departuresChanged {
+		select {
+		case g.departuresChanged <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (g *Gossip) sendPacket(p packet) {
