--- a/resource/object.go
+++ b/resource/object.go
@@ -144,9 +144,18 @@
 // Clone implements Object.
 func (k *RequestKind) Clone() Object { c := *k; return &c }
 
-// DefaultRankShare is the share of ranks from a configuration format that has no shares. It
-// lets the least urgent requests make progress without taking much capacity from the others.
-const DefaultRankShare = 0.1
+const (
+	// maxDefaultShare lets the least urgent requests make progress without taking much capacity from the
+	// others, and maxDefaultShares leaves the most urgent ones some capacity beyond all shares.
+	maxDefaultShare  = 0.1
+	maxDefaultShares = 0.9
+)
+
+// DefaultRankShare returns the share of each of a number of ranks from a configuration format that has no
+// shares.
+func DefaultRankShare(ranks int) float64 {
+	return min(maxDefaultShare, maxDefaultShares/float64(max(ranks, 1)))
+}
 
 // Rank is a priority class of requests.
 type Rank struct {
