Bound deltas of the configuration and responses of control

A node would hold a delta of up to 256 MB that a peer sends, where VMs have 184 MB; the limit is 32 MiB now, five times the configuration at the target.

--- a/cli/reports.go
+++ b/cli/reports.go
@@ -149,6 +149,9 @@
 	return nil
 }
 
+// maxExplanationBytes bounds the explanation of one request.
+const maxExplanationBytes = 4 << 20
+
 func (a *app) explain(ctx context.Context) error {
 	if a.reports.logs != "" {
 		return a.explainFromLogs()
@@ -168,7 +171,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxExplanationBytes))
 	if err != nil {
 		return err
 	}
--- a/client/client.go
+++ b/client/client.go
@@ -216,7 +216,7 @@
 	if resp.StatusCode >= 300 {
 		return readError(resp)
 	}
-	if err := call.decode(resp.Body); err != nil {
+	if err := call.decode(http.MaxBytesReader(nil, resp.Body, apiv1.MaxSnapshotBytes)); err != nil {
 		return fmt.Errorf("client: response: %w", err)
 	}
 	return nil
--- a/distribute/protocol.go
+++ b/distribute/protocol.go
@@ -15,8 +15,9 @@
 const (
 	// maxPartBytes leaves room in a frame for the encoding of the part.
 	maxPartBytes = link.MaxPayload - 256
-	// maxDeltaBytes bounds a delta. The whole configuration takes about 6 MB at the target scale.
-	maxDeltaBytes = 256 << 20
+	// maxDeltaBytes bounds a delta, which a node holds as a whole. The whole configuration takes about 6 MB
+	// at the target scale.
+	maxDeltaBytes = 32 << 20
 )
 
 var errTooLarge = errors.New("distribute: delta exceeds the size limit")
