End the requests of callers that do not read their answer

A request whose caller stands still while it gets a long answer stayed in progress for as long as the connection was open, after its deadline as well: it kept its buffers, and a planned stop waited for it until its own limit.

Callers have 10 s after the deadline to read, so that an answer that came at the last moment is delivered.

--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -24,12 +24,19 @@
 	Attempts int
 }
 
+// callerWriteTimeout is how long after the deadline of a request its caller may take to read the answer, which
+// may have come at the last moment. The request of a caller that does not read would never end.
+const callerWriteTimeout = 10 * time.Second
+
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	in.inFlight.Add(1)
 	defer in.inFlight.Done()
 	in.stats.requests.Add(1)
 	began := time.Now()
+	// Writers that support no deadlines, as in tests, do not block.
+	conn := http.NewResponseController(w)
+	conn.SetWriteDeadline(time.Time{}) // that of the connection's previous request
 	v := in.awaitConfig(r, began)
 	if v.Leaving {
 		// Makes the caller open its next connection, which can then go to another node.
@@ -53,6 +60,7 @@
 		in.refuse(w, rq, err)
 		return
 	}
+	conn.SetWriteDeadline(rq.deadline.Add(callerWriteTimeout))
 	ctx, cancel := context.WithDeadline(r.Context(), rq.deadline)
 	defer cancel()
 	defer context.AfterFunc(in.interruptCtx, cancel)()
