Tell the bodies of a test apart

Its connections took their results from one channel, so that one of them could take that of another and close its own connection early (unexpected EOF). Each has a channel of its own now; the checks are the same.

--- a/controld/body_test.go
+++ b/controld/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,36 +21,42 @@
 func TestBodiesOfOperatorsAreBounded(t *testing.T) {
 	const limit = 1 << 20
 	bodies := NewBodyReader()
-	errs := make(chan error, 20)
+	var ends sync.Map // channels for the errors of the reader, by path
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, err := bodies.Read(w, r, limit)
-		errs <- err
+		end, _ := ends.Load(r.URL.Path)
+		end.(chan error) <- err
 	}))
 	defer s.Close()
-	send := func(unit string, pause time.Duration) error {
+	send := func(path, unit string, pause time.Duration) error {
+		end := make(chan error, 1)
+		ends.Store(path, end)
 		c, err := net.Dial("tcp", s.Listener.Addr().String())
 		assert.NilError(t, err)
 		defer c.Close()
-		io.WriteString(c, "POST / HTTP/1.1\r\nHost: c\r\nContent-Length: 1000000000\r\n\r\n")
+		io.WriteString(c, "POST "+path+" HTTP/1.1\r\nHost: c\r\nContent-Length: 1000000000\r\n\r\n")
 		go func() {
 			for err := error(nil); err == nil; _, err = io.WriteString(c, unit) {
 				time.Sleep(pause)
 			}
 		}()
 		select {
-		case err := <-errs:
+		case err := <-end:
 			return err
 		case <-time.After(2 * bodyTimeout):
 			return errors.New("the body is still being read")
 		}
 	}
 	var tooLarge *http.MaxBytesError
-	assert.Assert(t, errors.As(send(strings.Repeat("x", 64<<10), 0), &tooLarge))
+	assert.Assert(t, errors.As(send("/fast", strings.Repeat("x", 64<<10), 0), &tooLarge))
 
 	// Slow bodies take all slots, and give them back.
 	var slow sync.WaitGroup
-	for range maxBodies {
-		slow.Go(func() { assert.Check(t, errors.Is(send("x", 50*time.Millisecond), os.ErrDeadlineExceeded)) })
+	for i := range maxBodies {
+		slow.Go(func() {
+			err := send(fmt.Sprint("/slow-", i), "x", 50*time.Millisecond)
+			assert.Check(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+		})
 	}
 	time.Sleep(100 * time.Millisecond)
 	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader("document"))
