Wait for the first bytes of an upload no longer than for a sign of life

A dump of a stuck run shows a slot held by an attempt that waits for the first bytes of its body, and a resend of the same attempt that waits for it: the ingress had given the first stream up after a late acknowledgement. The dispatcher waited there until the deadline.

The wait ends after the silence timeout, as not run: the ingress holds the first bytes, so they come at once if it still listens.

--- a/dispatch/blocked_test.go
+++ b/dispatch/blocked_test.go
@@ -107,3 +107,22 @@
 		t.Fatal("the upstream still writes its answer")
 	}
 }
+
+// Guards against a slot that waits until the deadline for the body of an upload, whose ingress has given the stream
+// up, and against a resend of the attempt that waits with it.
+func TestUploadOfASilentStreamFreesTheSlot(t *testing.T) {
+	f := newFixture(t, nil, answerOK)
+	head := orderHead("a")
+	head.Streamed, head.BodyBytes = true, 1<<20
+	first := begin(t, f, head)
+	assert.NilError(t, wire.Read(first, wire.FrameContinue, nil))
+	began := time.Now()
+	_, end := readAnswer(t, begin(t, f, head))
+	assert.Equal(t, end.Outcome, outcome.NotRun)
+	next := orderHead("b")
+	next.Insist = true
+	_, end = finish(t, begin(t, f, next))
+	assert.Equal(t, end.Outcome, outcome.Answered)
+	assert.Assert(t, time.Since(began) < 2*wire.SilenceTimeout, "%v", time.Since(began))
+	assert.Equal(t, f.runs.Load(), int64(1))
+}
--- a/dispatch/body.go
+++ b/dispatch/body.go
@@ -43,19 +43,23 @@
 func (b *requestBody) watch() { b.stopWatch = b.dispatcher.watchStream(b.attempt, b.stream) }
 
 // begin asks for a streamed body and waits for its first bytes: they show that the ingress knows that
-// the request runs from now on.
+// the request runs from now on. An ingress that has given the stream up sends none. It holds the start of the
+// body, so that the first bytes do not depend on its caller.
 func (b *requestBody) begin(w *answerWriter) error {
 	if b.streamed == nil {
 		return nil
 	}
 	b.stopWatch()
 	b.stopWatch = func() {}
-	b.stream.SetReadDeadline(b.deadline)
 	if err := w.writeContinue(); err != nil {
 		return err
 	}
 	b.streamed.begun = true
-	return b.streamed.readFrame()
+	b.stream.SetReadDeadline(time.Now().Add(min(wire.SilenceTimeout, time.Until(b.deadline))))
+	if err := b.streamed.readFrame(); err != nil {
+		return err
+	}
+	return b.stream.SetReadDeadline(b.deadline)
 }
 
 // open returns a new reader of the body, or nil if it is empty. A streamed body is opened once.
