--- a/announce/order_test.go
+++ b/announce/order_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,10 +14,33 @@
 	"github.com/godwithub/godwithub/logging"
 )
 
-type sinkRecorder struct{ calls []string }
+// sinkRecorder records its calls: the ID of an announced upstream, with a minus that of a withdrawn one.
+type sinkRecorder struct {
+	mu    sync.Mutex
+	calls []string
+}
+
+func (r *sinkRecorder) add(call string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, call)
+}
+
+// recorded returns the calls since the last reset.
+func (r *sinkRecorder) recorded() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.calls)
+}
+
+func (r *sinkRecorder) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = nil
+}
 
-func (r *sinkRecorder) Announce(a Announcement)      { r.calls = append(r.calls, string(a.ID)) }
-func (r *sinkRecorder) Withdraw(id fleet.UpstreamID) { r.calls = append(r.calls, "-"+string(id)) }
+func (r *sinkRecorder) Announce(a Announcement)      { r.add(string(a.ID)) }
+func (r *sinkRecorder) Withdraw(id fleet.UpstreamID) { r.add("-" + string(id)) }
 
 // Guards against delayed announcements that bring back an upstream which was withdrawn,
 // has begun to drain, or whose address is used by a later upstream.
@@ -27,8 +52,8 @@
 	}
 	expectCalls := func(want ...string) {
 		t.Helper()
-		assert.DeepEqual(t, r.calls, want)
-		r.calls = nil
+		assert.DeepEqual(t, r.recorded(), want)
+		r.reset()
 	}
 	announce("a", 10, 2, "x")
 	announce("a", 10, 1, "x") // an earlier sequence number arrives late
@@ -58,7 +83,7 @@
 	for sequence := range uint64(3) {
 		o.Announce(Announcement{ID: "a", Addr: "x", Sequence: sequence + 1, WarmMs: int64(300 - sequence)})
 	}
-	assert.Equal(t, len(r.calls), 3)
+	assert.Equal(t, len(r.recorded()), 3)
 	assert.Equal(t, o.known["a"].warmMs, int64(300))
 }
 
@@ -70,9 +95,9 @@
 		o := NewOrdered(r, NoDepartures{}, logging.Discard())
 		o.Withdraw("a", startMs)
 		o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7})
-		assert.DeepEqual(t, r.calls, []string{"-a"})
+		assert.DeepEqual(t, r.recorded(), []string{"-a"})
 		o.Announce(Announcement{ID: "a", Addr: "x", StartMs: time.Now().UnixMilli() + 1, Sequence: 1})
-		assert.DeepEqual(t, r.calls, []string{"-a", "a"})
+		assert.DeepEqual(t, r.recorded(), []string{"-a", "a"})
 	}
 }
 
@@ -122,10 +147,10 @@
 			after := NewOrdered(r, f, logging.Discard())
 			late := Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 8}
 			assert.NilError(t, after.Announce(late))
-			assert.Equal(t, len(r.calls), 0)
+			assert.Equal(t, len(r.recorded()), 0)
 			// A later process of the upstream under the same ID is not held back.
 			assert.NilError(t, after.Announce(Announcement{ID: "a", Addr: "x", StartMs: 2000, Sequence: 1}))
-			assert.Equal(t, r.calls[len(r.calls)-1], "a")
+			assert.Equal(t, r.recorded()[len(r.recorded())-1], "a")
 		})
 	}
 }
@@ -143,20 +168,20 @@
 				assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7}))
 				assert.NilError(t, o.Announce(Announcement{ID: "b", Addr: "y", StartMs: 1000, Sequence: 3}))
 				synctest.Wait()
-				assert.Equal(t, len(r.calls), 0)
+				assert.Equal(t, len(r.recorded()), 0)
 				if reached {
 					o.recall(fleet.Departure{Upstream: "a", StartMs: 1000, Sequence: 6, Gone: true})
 					close(f.recalled)
 					synctest.Wait()
-					assert.DeepEqual(t, r.calls, []string{"b"})
+					assert.DeepEqual(t, r.recorded(), []string{"b"})
 					return
 				}
 				time.Sleep(recallTimeout + time.Millisecond)
 				synctest.Wait()
-				assert.Equal(t, len(r.calls), 2)
+				assert.Equal(t, len(r.recorded()), 2)
 				// What is learned later still counts.
 				o.recall(fleet.Departure{Upstream: "a", StartMs: 1000, Sequence: 6, Gone: true})
-				assert.Equal(t, r.calls[len(r.calls)-1], "-a")
+				assert.Equal(t, r.recorded()[len(r.recorded())-1], "-a")
 			})
 		})
 	}
@@ -171,7 +196,7 @@
 	draining := Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 2, Draining: true}
 	assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 1}))
 	assert.ErrorIs(t, o.Announce(draining), context.DeadlineExceeded)
-	assert.DeepEqual(t, r.calls, []string{"a", "a"})
+	assert.DeepEqual(t, r.recorded(), []string{"a", "a"})
 	f.fail = nil
 	draining.Sequence++
 	assert.NilError(t, o.Announce(draining))
@@ -202,14 +227,14 @@
 				assert.NilError(t, o.Withdraw("a", startMs))
 				time.Sleep(maxDelay - time.Second)
 				announce()
-				assert.DeepEqual(t, r.calls, []string{"a", "-a"})
+				assert.DeepEqual(t, r.recorded(), []string{"a", "-a"})
 				time.Sleep(2 * time.Second)
 				announce()
 				want := []string{"a", "-a", "a"}
 				if startMs != 0 {
 					want = want[:2]
 				}
-				assert.DeepEqual(t, r.calls, want)
+				assert.DeepEqual(t, r.recorded(), want)
 			})
 		})
 	}
--- a/dispatch/gray_test.go
+++ b/dispatch/gray_test.go
@@ -93,17 +93,19 @@
 // failing phase must be told although no request reaches it.
 func TestEndOfFailingPhaseIsToldWithoutWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var told []bool
-		d := New(Config{Log: logging.Discard(), Failing: func(_ fleet.UpstreamID, _ int64, failing bool) { told = append(told, failing) }})
+		reports := make(chan bool, 10)
+		d := New(Config{Log: logging.Discard(), Failing: func(_ fleet.UpstreamID, _ int64, failing bool) { reports <- failing }})
 		u, _ := grayUpstream()
 		for range 3 {
 			d.recordResult(u, time.Now(), time.Now(), true)
 			time.Sleep(time.Second)
 		}
-		assert.DeepEqual(t, told, []bool{true})
+		assert.Equal(t, len(reports), 1)
+		assert.Assert(t, <-reports, "the beginning of the phase")
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		assert.DeepEqual(t, told, []bool{true, false})
+		assert.Equal(t, len(reports), 1)
+		assert.Assert(t, !<-reports, "the end of the phase")
 		assert.Assert(t, !u.failing(time.Now()))
 	})
 }
