--- a/review/drive2/departed.go
+++ b/review/drive2/departed.go
@@ -13,8 +13,9 @@
 	lateCheckIn = 6 * time.Second
 	// killedDown is how long the processes stay down.
 	killedDown = 500 * time.Millisecond
-	// inTouchAgain is when the machines are in touch after all processes were killed: twice contact_ms after they are back.
-	inTouchAgain = killedDown + 2*contact
+	// inTouchAgain is when the machines are in touch after all processes were killed, with a margin: twice contact_ms after
+	// they are back.
+	inTouchAgain = killedDown + 2*contact + 500*time.Millisecond
 	// serveOn is how long the worker goes on serving after its departure was acknowledged.
 	serveOn = 12500 * time.Millisecond
 	// requestInterval is the time between two requests of a caller.
