--- a/review/drive2/departed.go
+++ b/review/drive2/departed.go
@@ -8,7 +8,6 @@
 )
 
 const (
-	drainBound = 2500 * time.Millisecond
 	// lateCheckIn is how long after its departure a check-in of the worker arrives that was sent before.
 	lateCheckIn = 6 * time.Second
 	// killedDown is how long the processes stay down.
--- a/review/drive2/removed.go
+++ b/review/drive2/removed.go
@@ -18,7 +18,7 @@
 	}
 	old := other(core, leader)
 	added := f.addVM("core-new", "control", old.place)
-	if core, err = replace(op, core, old, added); err != nil {
+	if core, err = replace(op, core, old, added, catchUp); err != nil {
 		return err
 	}
 	if trouble {
--- a/review/drive2/returning.go
+++ b/review/drive2/returning.go
@@ -6,8 +6,17 @@
 	"time"
 )
 
-// returningMember takes one core VM down while others are replaced as planned: the leader, until a new VM leads. Once the
-// first is back for longer than catch_up_s, two other VMs lose their disks, which the deployment has to bear.
+const (
+	// darkTime is how long a VM is dark at a time, and upTime how long it is up in between.
+	darkTime = 7 * time.Second
+	upTime   = 50 * time.Millisecond
+	// successorTime is how long a new VM runs before the one that it replaces is stopped: longer than catch_up_s.
+	successorTime = 4500 * time.Millisecond
+)
+
+// returningMember keeps one core VM dark, several times in a row, while others are replaced as planned: the leader, until a
+// new VM leads. Once the first is back for longer than catch_up_s, two other VMs lose their disks, which the deployment
+// has to bear.
 func returningMember(f *fleet, trouble bool) error {
 	core, op, err := startCore(f)
 	if err != nil {
@@ -18,15 +27,16 @@
 		return errors.New("no leader")
 	}
 	away := other(core, leader)
+	bringBack := func() error { return nil }
 	if trouble {
 		core = without(core, away)
-		away.kill()
-		time.Sleep(2 * time.Second)
+		bringBack = keepDark(away)
+		time.Sleep(200 * time.Millisecond)
 	}
 	old := slices.Clone(core)
 	for i := range old {
 		added := f.addVM("core-new-"+string(rune('1'+i)), "control", leader.place)
-		if core, err = replace(op, core, leader, added); err != nil {
+		if core, err = replace(op, core, leader, added, successorTime); err != nil {
 			return err
 		}
 		if leader = op.awaitLeader(core, 5*time.Second); leader == nil {
@@ -37,10 +47,10 @@
 			break
 		}
 	}
+	if err := bringBack(); err != nil {
+		return err
+	}
 	if trouble {
-		if err := away.start(false); err != nil {
-			return err
-		}
 		core = append(core, away)
 	}
 	time.Sleep(catchUp + contact)
@@ -55,14 +65,41 @@
 	return readBack(op, core)
 }
 
-// replace replaces a core VM as planned: the new one is started first, and the old one gets SIGTERM once the new one has
-// had the time to catch up. It returns the core VMs.
-func replace(op *operator, core []*vm, old, added *vm) ([]*vm, error) {
+// keepDark kills the process of a VM, starts it again after darkTime, kills it once more after upTime, and so on. bringBack
+// lets it stay up after its next start, and waits for that.
+func keepDark(v *vm) (bringBack func() error) {
+	stay, result := make(chan struct{}), make(chan error, 1)
+	v.kill()
+	go func() {
+		for {
+			time.Sleep(darkTime)
+			if err := v.start(false); err != nil {
+				result <- err
+				return
+			}
+			select {
+			case <-stay:
+				result <- nil
+				return
+			case <-time.After(upTime):
+			}
+			v.kill()
+		}
+	}()
+	return func() error {
+		close(stay)
+		return <-result
+	}
+}
+
+// replace replaces a core VM as planned: the new one is started first, and the old one gets SIGTERM after wait, in which the
+// new one catches up. It returns the core VMs.
+func replace(op *operator, core []*vm, old, added *vm, wait time.Duration) ([]*vm, error) {
 	old.fleet.seeds = seedsOf(without(core, old))
 	if err := added.start(false); err != nil {
 		return nil, err
 	}
-	time.Sleep(catchUp)
+	time.Sleep(wait)
 	old.stop()
 	core = append(without(core, old), added)
 	return core, op.change(core, 10*time.Second)
