Take consensus messages from control processes that joined meanwhile

Cause: a member took consensus messages only from members of the membership that it had itself. One that had been away refused the leader that had joined meanwhile, and only that leader could have brought its membership up to date.

Ruled out: the leader sends to it (its streams arrive and are reset); its request for a vote is not refused, it is never made, as it believes it has one.

Change: messages are taken from any process whose certificate permits the control role, or from any without certificates. The core drops messages to other replica ids, and Raft does not rely on the sender's membership.

Related paths: this was the only decision on messages by the own membership; requests to join, member info and the leader's version are answered to all.

--- a/consensus/replica/linktransport_test.go
+++ b/consensus/replica/linktransport_test.go
@@ -82,6 +82,7 @@
 func (s *silentStream) SetReadDeadline(time.Time) error          { return nil }
 func (s *silentStream) Close() error                             { return nil }
 func (s *silentStream) PeerName() string                         { return "" }
+func (s *silentStream) PeerHasRole(string) bool                  { return true }
 func (s *silentStream) Reset() {
 	select {
 	case <-s.reset:
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -16,6 +16,7 @@
 	"github.com/godwithub/godwithub/consensus/disk"
 	"github.com/godwithub/godwithub/consensus/replica"
 	"github.com/godwithub/godwithub/control"
+	"github.com/godwithub/godwithub/keys"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/wire"
@@ -185,24 +186,24 @@
 	return slices.Compact(out)
 }
 
-// handleConsensus accepts consensus messages from members only, since the link is open to all
-// processes of the fleet. A replica that does not know the members yet accepts messages from all.
+// handleConsensus accepts consensus messages from control processes only, since the link is open to all
+// processes of the fleet. The membership that this replica knows does not decide: it may be older than that of
+// the sender, which is the only one that can bring it up to date. The core needs no such check, since it drops messages to
+// other replicas and does not trust the sender's membership.
 func (g *Group) handleConsensus(ctx context.Context, s link.Stream, first link.Frame) {
-	if !g.acceptsFrom(s.PeerName()) {
-		g.log.Warn("consensus stream refused: the peer is not a member", "peer", s.PeerName())
+	if !s.PeerHasRole(string(keys.RoleControl)) {
+		g.log.Warn("consensus stream refused: the peer is not a control process", "peer", s.PeerName())
 		s.Reset()
 		return
 	}
+	if name := s.PeerName(); !g.knowsMember(name) {
+		g.log.Info("consensus stream from a process that is not a member in the membership of this replica", "peer", name)
+	}
 	g.transport.Handle(ctx, s, first)
 }
 
-func (g *Group) acceptsFrom(name string) bool {
-	members := g.Members()
-	if len(members) == 0 {
-		return true
-	}
-	hasName := func(m control.Member) bool { return m.ID == name }
-	return slices.ContainsFunc(members, hasName)
+func (g *Group) knowsMember(name string) bool {
+	return slices.ContainsFunc(g.Members(), func(m control.Member) bool { return m.ID == name })
 }
 
 func (g *Group) closeDone() { g.doneOnce.Do(func() { close(g.done) }) }
--- a/distribute/net_test.go
+++ b/distribute/net_test.go
@@ -169,6 +169,7 @@
 func (s *stream) SetReadDeadline(t time.Time) error { s.deadline = t; return nil }
 func (s *stream) Reset()                            { s.end() }
 func (s *stream) PeerName() string                  { return s.to }
+func (s *stream) PeerHasRole(string) bool           { return true }
 
 // Close does nothing, so that the other side can still read what was sent.
 func (s *stream) Close() error { return nil }
--- a/link/link.go
+++ b/link/link.go
@@ -59,6 +59,9 @@
 	// PeerName returns the common name in the peer's certificate. Links without TLS return the
 	// peer's IP address.
 	PeerName() string
+	// PeerHasRole reports whether the peer's certificate permits its process to take a role, one of
+	// the DNS names in the certificate. Links without TLS report true.
+	PeerHasRole(role string) bool
 }
 
 // Dialer opens streams to other processes, and reuses the connections to them.
--- a/link/pipe.go
+++ b/link/pipe.go
@@ -194,6 +194,9 @@
 
 func (p *pipe) PeerName() string { return p.peer }
 
+// PeerHasRole reports true, since both ends are in the same process.
+func (p *pipe) PeerHasRole(string) bool { return true }
+
 // LocalDialer opens streams to this process's own address without a connection. Other addresses are
 // passed to the embedded Dialer.
 type LocalDialer struct {
--- a/link/quiclink/quiclink.go
+++ b/link/quiclink/quiclink.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -282,3 +283,8 @@
 	}
 	return certs[0].Subject.CommonName
 }
+
+func (s *stream) PeerHasRole(role string) bool {
+	certs := s.conn.ConnectionState().TLS.PeerCertificates
+	return len(certs) > 0 && slices.Contains(certs[0].DNSNames, role)
+}
--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -389,3 +389,12 @@
 	}
 	return certs[0].Subject.CommonName
 }
+
+func (s *stream) PeerHasRole(role string) bool {
+	tc, ok := s.conn.Conn.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	certs := tc.ConnectionState().PeerCertificates
+	return len(certs) > 0 && slices.Contains(certs[0].DNSNames, role)
+}
