Give a surplus vote up before a planned stop

Cause: a member that stopped as planned said nothing. Its vote counted until the leader had not heard it for an election timeout and 0.5 s; three of six voters are no quorum.

Evidence: TestTwoDisksLostRightAfterPlannedStop fails before, for a leader and for a follower that stops ("the control group has no leader at present" for 20 s). The same losses 1.6 s later are borne.

Ruled out: the newcomer has no vote yet (the test waits for it); the blank members are not taken in (there is no leader that could).

Change: before it stops, a member of a self-repairing group asks the leader to take its vote, which the leader does if there are more than five. It runs on until that is committed, for at most half of the shutdown timeout. TestTwoDisksLostAfterPlannedReplacement kills the member now, so that it still covers the one that says nothing, and loses both disks at the same moment.

--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -50,7 +50,7 @@
 	lastLogged := ""
 	for sleep(ctx, joinInterval) {
 		r := j.replica.Load()
-		if r == nil || r.Status().Membership.IsVoter(j.store.ID()) {
+		if r == nil || j.leaving.Load() || r.Status().Membership.IsVoter(j.store.ID()) {
 			continue
 		}
 		if err := j.requestJoin(ctx); err != nil && err.Error() != lastLogged {
--- a/controld/controld.go
+++ b/controld/controld.go
@@ -61,6 +61,9 @@
 	// Confirmed reports whether this process has applied all changes that were acknowledged up to a
 	// short time ago, and may still be receiving new ones. Unlike Current, it sends nothing.
 	Confirmed() bool
+	// Leave prepares a planned stop while the other members can still be reached: a member gives its vote
+	// up if the group does not need it. It returns once that is done or ctx ends.
+	Leave(ctx context.Context)
 	Close() error
 }
 
@@ -265,6 +268,7 @@
 	if err != nil {
 		err = fmt.Errorf("controld: API requests still in flight at shutdown: %w", err)
 	}
+	d.leave()
 	stop()
 	err = errors.Join(err, d.listener.Close())
 	d.listener = nil
@@ -272,6 +276,13 @@
 	return errors.Join(err, d.closeAll())
 }
 
+// leave prepares the replication for the stop, for at most half of the time that requests in flight have.
+func (d *Daemon) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.ShutdownTimeout/2)
+	defer cancel()
+	d.replication.Leave(ctx)
+}
+
 // waitForHandlers waits until all handlers of link streams have returned or ctx ends, so that none
 // uses the replication after it is closed.
 func (d *Daemon) waitForHandlers(ctx context.Context) {
--- a/controld/group_test.go
+++ b/controld/group_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 	token     string
 	addrs     map[string]address
 	stopFuncs map[string]func()
+	killFuncs map[string]func()
 	// selfRepair makes members join the group and repair it by themselves.
 	selfRepair bool
 	// distributes connects members to nodes.
@@ -41,7 +43,7 @@
 
 func newTestGroup(t *testing.T, ids ...string) *testGroup {
 	dir := t.TempDir()
-	g := &testGroup{t: t, dir: dir, addrs: map[string]address{}, stopFuncs: map[string]func(){}}
+	g := &testGroup{t: t, dir: dir, addrs: map[string]address{}, stopFuncs: map[string]func(){}, killFuncs: map[string]func(){}}
 	assert.NilError(t, keys.Init(g.path("ca")))
 	var err error
 	g.token, err = server.NewToken(g.path("tokens"), "op", server.RoleAdmin)
@@ -93,6 +95,7 @@
 		settings.Founders = append(settings.Founders, f+"="+b.linkAddr+"/"+b.apiAddr)
 	}
 	settings.Join = len(founders) == 0
+	settings.ShutdownTimeout = 2 * time.Second
 	settings.SelfRepair = g.selfRepair
 	for _, b := range g.addrs {
 		settings.Seeds = append(settings.Seeds, b.linkAddr)
@@ -115,6 +118,12 @@
 		assert.NilError(g.t, <-ended)
 		assert.NilError(g.t, disconnect())
 	}
+	g.killFuncs[id] = func() {
+		d.replication.Close()
+		cancel()
+		<-ended
+		disconnect()
+	}
 	return d
 }
 
@@ -125,6 +134,16 @@
 	stop()
 }
 
+// kill ends members at the same moment, as if their processes were killed: their replicas end first.
+func (g *testGroup) kill(ids ...string) {
+	var ending sync.WaitGroup
+	for _, id := range ids {
+		delete(g.stopFuncs, id)
+		ending.Go(g.killFuncs[id])
+	}
+	ending.Wait()
+}
+
 func (g *testGroup) client(ids ...string) *client.Client {
 	tlsConfig, err := keys.APIClient(g.path("ca/ca.crt"))
 	assert.NilError(g.t, err)
--- a/controld/local.go
+++ b/controld/local.go
@@ -72,6 +72,9 @@
 // Confirmed implements Replication.
 func (localReplication) Confirmed() bool { return true }
 
+// Leave implements Replication.
+func (localReplication) Leave(context.Context) {}
+
 // Members implements server.MemberChanger.
 func (l localReplication) Members() []control.Member { return l.machine.Members() }
 
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -61,6 +61,8 @@
 	coordinator       string               // see memberInfo
 	initialMembership consensus.Membership // empty if it is not known
 
+	leaving atomic.Bool // Leave was called
+
 	freshness  freshness
 	changeSlot chan struct{} // holds one token while members are changed
 }
@@ -118,6 +120,7 @@
 	if p.Settings.SelfRepair {
 		j := &joiner{Group: g, log: logging.Part(p.Log, "join"), candidateAddrs: func() []string { return g.candidates(&p) }}
 		p.Mux.Handle(wire.FrameControlJoin, j.handleJoin)
+		p.Mux.Handle(wire.FrameControlLeave, g.handleLeave)
 		g.background.Go(func() { j.run(ctx) })
 		g.background.Go(func() { j.watchSilence(ctx) })
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -49,6 +49,9 @@
 	// FrameControlJoin asks the leader of the control group to add a member. It carries a
 	// control.Member and is answered with a frame of the same type.
 	FrameControlJoin link.FrameType = 35
+	// FrameControlLeave asks the leader of the control group to take the vote of a replica that is about to
+	// stop. It carries a consensus.ReplicaID and is answered with a frame of the same type.
+	FrameControlLeave link.FrameType = 36
 
 	// Idempotency groups.
 	FrameGroupCall   link.FrameType = 40 // command for a group
