Acknowledge departures of upstreams once control VMs have stored them

Causes: 1. a departure was acknowledged once two members had it in memory; control VMs stored it 20 ms later, acknowledged or not. 2. Control VMs that had loaded departures passed them only to nodes that exchanged with them first.

Before, the simulated network looked only every 100 ms and hid both.

Ruled out: the node knows of the departure and takes the announcement (TestLateAnnouncementAfterRestartIsDropped).

Change: control VMs answer a message of its own kind once the departure is on their disk, so that probes don't wait for the disk. Control VMs return loaded departures to restarted nodes and to all when they join.

Related paths: a node that knows no other one acknowledged alone; it doesn't any more (TestDepartureNeedsControl).

--- a/announce/order.go
+++ b/announce/order.go
@@ -39,7 +39,7 @@
 // Departures keeps at other nodes what upstreams of this VM say about their end. This process would forget it
 // with a restart, and a delayed announcement would bring the upstream back.
 type Departures interface {
-	// RecordDeparture returns once other nodes keep d.
+	// RecordDeparture returns once other nodes keep d, also if all processes of the fleet end at that moment.
 	RecordDeparture(ctx context.Context, d fleet.Departure) error
 	// RecallDepartures calls f for each departure that other nodes have kept for an earlier process of this
 	// node. The returned channel is closed once the first ones have been passed to f.
@@ -230,8 +230,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	if err := o.departures.RecordDeparture(ctx, d); err != nil {
-		o.log.Warn("departure not acknowledged, as no other node keeps it", "upstream", id, "fault", err)
-		return fmt.Errorf("announce: no other node keeps the departure of %s: %w", id, err)
+		o.log.Warn("departure not acknowledged, as too few others keep it", "upstream", id, "fault", err)
+		return fmt.Errorf("announce: too few others keep the departure of %s: %w", id, err)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/gossip/apply.go
+++ b/gossip/apply.go
@@ -38,6 +38,10 @@
 		c.relayProbe(now, src, &msg)
 	case kindRecordRequest:
 		c.sendRecord(now, msg.From, src, msg.Subject)
+	case kindStore:
+		c.answerOnceStored(storeRequest{msg.From, src, msg.Probe, 0})
+	case kindStored:
+		c.noteStored(&msg)
 	}
 	c.enterBulk(now)
 	if c.queue.hasFresh() {
@@ -76,9 +80,11 @@
 	for _, e := range full.Upstreams {
 		parts = append(parts, record{Node: id, Upstreams: []upstreamEntry{e}})
 	}
-	for _, e := range full.Departures {
-		parts = append(parts, record{Node: id, Departures: []departureEntry{e}})
-	}
+	c.sendParts(to, addr, append(parts, departureParts(id, full.Departures)...))
+}
+
+// sendParts sends parts of records, in as many datagrams as needed.
+func (c *core) sendParts(to fleet.NodeID, addr string, parts []record) {
 	b := c.newBuilder(kindPush, 0, "")
 	for _, p := range parts {
 		raw := mustEncode(p)
@@ -91,6 +97,15 @@
 	c.enqueuePacket(to, addr, b)
 }
 
+// departureParts returns a part of a record for each departure of a node.
+func departureParts(id fleet.NodeID, entries []departureEntry) []record {
+	parts := make([]record, 0, len(entries))
+	for _, e := range entries {
+		parts = append(parts, record{Node: id, Departures: []departureEntry{e}})
+	}
+	return parts
+}
+
 // applyRecord merges a received record into the member that it describes, and queues what was new
 // for other members.
 func (c *core) applyRecord(now time.Time, r record) {
@@ -104,6 +119,7 @@
 		return
 	}
 	m := c.memberFor(now, r.Node)
+	wasComplete, oldBoot := m.complete(), Boot(m.status.Incarnation)
 	c.noteDuplicates(m, &r)
 	if r.Status != nil && r.Status.supersedes(m.status) {
 		c.setStatus(now, m, *r.Status)
@@ -117,6 +133,9 @@
 		}
 	}
 	c.applyDepartures(now, m, r.Departures)
+	if m.complete() && (!wasComplete || Boot(m.status.Incarnation) > oldBoot) {
+		c.returnDepartures(now, m)
+	}
 	if m.live() {
 		c.joining = false
 	}
--- a/gossip/config.go
+++ b/gossip/config.go
@@ -72,6 +72,9 @@
 	// Departures keeps the departures of all nodes across restarts of this member. It is nil for members
 	// without a disk.
 	Departures DepartureStore
+	// DepartureDisks is how many control VMs must have a departure on their disks before it is acknowledged.
+	// Default 2. It must exceed the number of disks that may be lost at once.
+	DepartureDisks int
 	// Seeds are the link addresses (IP:port) of nodes through which this node joins the fleet. A
 	// node that reaches no seed starts alone and keeps trying.
 	Seeds []string
@@ -108,6 +111,7 @@
 	setDefault(&c.ExchangeInterval, 2*time.Minute)
 	setDefault(&c.RepairInterval, 10*time.Second)
 	setDefault(&c.ExchangeTimeout, 10*time.Second)
+	setDefault(&c.DepartureDisks, 2)
 }
 
 func setDefault[T comparable](p *T, v T) {
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -60,8 +60,7 @@
 
 	// confirming holds the departures of this node that other members have to acknowledge, by number.
 	confirming map[uint64]*confirmation
-	// departuresChanged is set when a departure of any member was added. The owner of the core clears it.
-	departuresChanged bool
+	storing    storing
 	// recalled holds the departures of this node that other members have kept, until they are fetched.
 	recalled []fleet.Departure
 
--- a/gossip/departure.go
+++ b/gossip/departure.go
@@ -19,7 +19,7 @@
 	// confirmations is how many members have to acknowledge a departure of this node.
 	confirmations = 2
 	// confirmTargets is how many members of the node's region are asked at a time to acknowledge a
-	// departure. One more is in another region, and one is a control VM.
+	// departure. One more is in another region. Besides, all control VMs are asked to store it.
 	confirmTargets = 3
 )
 
@@ -97,21 +97,27 @@
 	return out
 }
 
-// confirmation counts the members that have acknowledged a departure of this node.
+// confirmation counts the members that know a departure of this node, and those that have stored it. With
+// the memories a restarted node learns of the departure in its first exchange, whichever member that is with; with
+// the disks the departure outlives the moment at which all processes end.
 type confirmation struct {
-	raw   cbor.RawMessage // record part with the departure
-	need  int
-	acked map[fleet.NodeID]bool
+	raw         cbor.RawMessage // record part with the departure
+	need, disks int             // how many members have to know it, and to have it on disk
+	acked       map[fleet.NodeID]bool
+	stored      map[fleet.NodeID]bool
 }
 
-func (c *confirmation) complete() bool { return len(c.acked) >= c.need }
+func (c *confirmation) known() bool { return len(c.acked) >= c.need }
+
+func (c *confirmation) complete() bool { return c.known() && len(c.stored) >= c.disks }
 
 // recordDeparture records a departure of one of this node's upstreams, sends it to other members and asks
-// some of them for an acknowledgement. The returned number identifies the confirmation.
+// some of them for an acknowledgement, and the control VMs to store it. The returned number identifies the
+// confirmation.
 func (c *core) recordDeparture(now time.Time, d fleet.Departure) (number uint64) {
 	e := toDepartureEntry(d, 0)
 	if c.self.departures.add(now, e) {
-		c.departuresChanged = true
+		c.departureAdded()
 		c.queueDeparture(c.self, e)
 		c.push(now, true)
 	}
@@ -120,28 +126,38 @@
 	c.confirming[number] = &confirmation{
 		raw:   mustEncode(record{Node: c.self.id, Departures: []departureEntry{e}}),
 		need:  min(confirmations, c.fleetSize()-1),
-		acked: map[fleet.NodeID]bool{},
+		disks: c.cfg.DepartureDisks,
+		acked: map[fleet.NodeID]bool{}, stored: map[fleet.NodeID]bool{},
 	}
 	c.askForConfirmation(number)
 	return number
 }
 
 // askForConfirmation sends the departure of a confirmation to random members, which acknowledge it like any
-// ping.
+// ping, and to the control VMs that have not stored it yet.
 func (c *core) askForConfirmation(number uint64) {
 	conf := c.confirming[number]
 	if conf == nil {
 		return
 	}
-	targets := append(c.chooseSameRegion(confirmTargets, true), c.chooseOtherRegions(1)...)
-	targets = append(targets, c.chooseRandom(c.controls(), 1, "")...)
-	for _, m := range targets {
-		b := c.newBuilder(kindPing, number, "")
-		b.add(conf.raw)
-		c.enqueuePacket(m.id, m.meta.GossipAddr, b)
+	if !conf.known() {
+		for _, m := range append(c.chooseSameRegion(confirmTargets, true), c.chooseOtherRegions(1)...) {
+			c.sendDeparture(m, kindPing, number, conf)
+		}
+	}
+	for _, m := range c.controls() {
+		if !conf.stored[m.id] {
+			c.sendDeparture(m, kindStore, number, conf)
+		}
 	}
 }
 
+func (c *core) sendDeparture(to *member, k messageKind, number uint64, conf *confirmation) {
+	b := c.newBuilder(k, number, "")
+	b.add(conf.raw)
+	c.enqueuePacket(to.id, to.meta.GossipAddr, b)
+}
+
 // controls returns the live control VMs. They have a disk, and keep departures there.
 func (c *core) controls() []*member {
 	var out []*member
@@ -169,11 +185,18 @@
 	return true
 }
 
+// noteStored counts a control VM that has stored a departure of this node.
+func (c *core) noteStored(msg *message) {
+	if conf := c.confirming[msg.Probe]; conf != nil {
+		conf.acked[msg.From], conf.stored[msg.From] = true, true
+	}
+}
+
 // applyDepartures merges received departures into a member and queues what was new for other members.
 func (c *core) applyDepartures(now time.Time, m *member, entries []departureEntry) {
 	for _, e := range entries {
 		if m.departures.add(now, e) {
-			c.departuresChanged = true
+			c.departureAdded()
 			c.queueDeparture(m, e)
 		}
 	}
--- a/gossip/departure_test.go
+++ b/gossip/departure_test.go
@@ -13,15 +13,19 @@
 
 var testDeparture = fleet.Departure{Upstream: "u", StartMs: 1000, Sequence: 7, Gone: true}
 
-// record records a departure at node i and runs the network until it is confirmed.
+// recordDeparture records a departure at node i and runs the network until the moment at which it is confirmed.
 func (s *sim) recordDeparture(i int, d fleet.Departure, limit time.Duration) (confirmed bool) {
 	c := s.nodes[i]
 	number := c.recordDeparture(s.now, d)
 	s.collect(c)
+	asked := s.now
 	for end := s.now.Add(limit); s.now.Before(end) && !c.confirmed(number); {
-		s.run(confirmInterval)
-		c.askForConfirmation(number)
-		s.collect(c)
+		s.run(time.Millisecond)
+		if s.now.Sub(asked) >= confirmInterval {
+			asked = s.now
+			c.askForConfirmation(number)
+			s.collect(c)
+		}
 	}
 	return c.confirmed(number)
 }
@@ -130,28 +134,90 @@
 	assert.DeepEqual(t, recalled, []fleet.Departure{testDeparture})
 }
 
-// Guards against departures that are forgotten when all processes of the fleet end together: a member with a disk
-// keeps them, and passes them on before it knows the restarted node.
+// Guards against departures that are forgotten when all processes of the fleet end at the moment of the acknowledgement, and
+// two of the five disks are lost with them, also if packets are lost and the first partner of the restarted node does not know.
 func TestDepartureOutlivesTheFleet(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSim(t, 12, 2, seed)
+			s.loss = 0.1
+			assert.Assert(t, s.recordDeparture(3, testDeparture, 2*time.Second))
+			s.pending, s.loss = nil, 0.4
+			for i := range s.nodes {
+				s.kill(i)
+			}
+			for _, i := range s.rand.Perm(len(simControls))[:2] {
+				s.disks[simControls[i]].kept = nil
+			}
+			s.run(500 * time.Millisecond)
+			for _, i := range s.rand.Perm(len(s.nodes)) {
+				s.start(i, 2)
+			}
+			for _, i := range s.rand.Perm(len(s.nodes)) {
+				s.exchange(i, simControls[s.rand.IntN(3)])
+			}
+			// Seeds that have joined through different ones find each other; see Gossip.missingSeed.
+			s.exchange(1, 0)
+			s.exchange(2, 0)
+			recalled := s.nodes[3].takeRecalled()
+			for end := s.now.Add(4 * time.Second); len(recalled) == 0 && s.now.Before(end); {
+				s.run(100 * time.Millisecond)
+				recalled = s.nodes[3].takeRecalled()
+			}
+			assert.DeepEqual(t, recalled, []fleet.Departure{testDeparture})
+		})
+	}
+}
+
+// Guards against departures that last longer since a clock went back or ahead.
+func TestLoadedDeparturesExpire(t *testing.T) {
 	s := newSim(t, 8, 2, 5)
 	assert.Assert(t, s.recordDeparture(3, testDeparture, time.Second))
 	s.run(200 * time.Millisecond)
 	kept := s.nodes[0].keptDepartures(s.now)
-	for i := range s.nodes {
-		s.kill(i)
-	}
-	s.run(500 * time.Millisecond)
-	for i := range s.nodes {
-		s.start(i, 2)
-	}
-	s.nodes[0].loadDepartures(s.now, kept)
-	s.exchange(3, 0)
-	assert.DeepEqual(t, s.nodes[3].takeRecalled(), []fleet.Departure{testDeparture})
-	// Neither a clock that went back nor one that went ahead makes them last longer.
+	assert.Equal(t, len(kept), 1)
 	for _, step := range []time.Duration{-time.Hour, time.Hour} {
-		c := s.start(1, 2)
+		c := s.start(4, 2)
 		c.loadDepartures(s.now.Add(step), kept)
-		s.kill(1)
+		s.kill(4)
 		assert.Assert(t, len(c.keptDepartures(s.now.Add(step+departureRetention))) == 0)
 	}
 }
+
+// Guards against an acknowledgement while too few control VMs have the departure on their disks, and against one
+// that never comes since a write failed once.
+func TestDepartureIsAcknowledgedOnceStored(t *testing.T) {
+	s := newSim(t, 12, 2, 6)
+	for _, i := range simControls[:3] {
+		s.disks[i].refuses = true
+	}
+	assert.Assert(t, !s.recordDeparture(3, testDeparture, 2*time.Second))
+	s.disks[0].refuses = false
+	assert.Assert(t, s.recordDeparture(3, testDeparture, time.Second))
+	stored := 0
+	for _, i := range simControls {
+		stored += len(s.disks[i].kept)
+	}
+	assert.Equal(t, stored, 3)
+}
+
+// Guards against an acknowledgement by a node that reaches no control VM, however many others know of the departure.
+func TestDepartureNeedsControl(t *testing.T) {
+	s := newSim(t, 12, 2, 7)
+	for _, i := range simControls {
+		s.kill(i)
+	}
+	assert.Assert(t, !s.recordDeparture(3, testDeparture, 2*time.Second))
+}
+
+// Guards against probes that are answered late, so that a control VM with a slow disk counts as dead.
+func TestProbesDoNotWaitForTheDisk(t *testing.T) {
+	s := newSim(t, 8, 2, 8)
+	c, before := s.nodes[0], len(s.pending)
+	b := s.nodes[3].newBuilder(kindPing, 1, "")
+	b.add(mustEncode(record{Node: s.nodes[3].self.id, Departures: []departureEntry{toDepartureEntry(testDeparture, 0)}}))
+	assert.NilError(t, c.receive(s.now, addrOf(3), mustEncode(b.msg)))
+	s.collect(c)
+	assert.Equal(t, len(s.pending), before+1)
+	assert.Equal(t, len(s.disks[0].kept), 0)
+}
--- a/gossip/departurestore.go
+++ b/gossip/departurestore.go
@@ -12,7 +12,7 @@
 type DepartureStore interface {
 	// LoadDepartures returns what was saved last.
 	LoadDepartures() ([]fleet.KeptDeparture, error)
-	// SaveDepartures replaces what was saved before. It may block.
+	// SaveDepartures replaces what was saved before. It may block, and returns once the departures are on the disk.
 	SaveDepartures([]fleet.KeptDeparture) error
 }
 
@@ -32,7 +32,7 @@
 	g.core.loadDepartures(time.Now(), kept)
 }
 
-// saveDepartures saves the departures of all members whenever they have changed, until ctx ends.
+// saveDepartures saves the departures of all members whenever that is due, until ctx ends.
 func (g *Gossip) saveDepartures(ctx context.Context) {
 	if g.cfg.Departures == nil {
 		return
@@ -41,14 +41,17 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.departuresChanged:
+		case <-g.storeDue:
 		}
 		time.Sleep(saveDelay)
 		g.mu.Lock()
-		kept := g.core.keptDepartures(time.Now())
+		kept, version := g.core.keptDepartures(time.Now()), g.core.storing.version
 		g.mu.Unlock()
 		if err := g.cfg.Departures.SaveDepartures(kept); err != nil {
 			g.log.Warn("departures of upstreams were not saved", "err", err)
+			g.updateCore(func(c *core, _ time.Time) { c.storeFailed() })
+			continue
 		}
+		g.updateCore(func(c *core, _ time.Time) { c.departuresStored(version) })
 	}
 }
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -87,8 +87,9 @@
 		c.mergeConfig(&r)
 	}
 	if wasJoining {
-		// The other members already know these changes.
+		// The other members already know these changes, except departures that outlived all processes.
 		c.dropOthersChanges()
+		c.queueStoredDepartures(now)
 	}
 	c.finishBulkExchange(now)
 	c.enterBulk(now)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -34,8 +34,7 @@
 	counters         *counters
 	wake             chan struct{} // signals that the next tick may be due earlier
 	exchangeRequests chan string   // link address of the node to run a full exchange with
-	// departuresChanged signals that departures have to be saved.
-	departuresChanged chan struct{}
+	storeDue         chan struct{} // signals that departures have to be stored
 
 	mu   sync.Mutex
 	core *core
@@ -79,9 +78,9 @@
 		wake:             make(chan struct{}, 1),
 		exchangeRequests: make(chan string, 1),
 
-		departuresChanged: make(chan struct{}, 1),
-		events:            newEvents(),
-		recall:            newRecall(),
+		storeDue: make(chan struct{}, 1),
+		events:   newEvents(),
+		recall:   newRecall(),
 	}
 	if err := conn.SetReadBuffer(receiveBufferSize); err != nil {
 		g.log.Warn("cannot enlarge the receive buffer of the gossip socket", "err", err)
@@ -114,8 +113,8 @@
 	f(g.core, time.Now())
 	packets, changed := g.core.takeOutput()
 	recalled := g.core.takeRecalled()
-	departuresChanged := g.core.departuresChanged
-	g.core.departuresChanged = false
+	storeDue := g.core.storing.due
+	g.core.storing.due = false
 	sooner := g.core.nextTick().Before(before)
 	g.events.add(changed)
 	g.mu.Unlock()
@@ -129,9 +128,9 @@
 		g.sendPacket(p)
 	}
 	g.recall.deliver(recalled)
-	if departuresChanged {
+	if storeDue {
 		select {
-		case g.departuresChanged <- struct{}{}:
+		case g.storeDue <- struct{}{}:
 		default:
 		}
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -40,6 +40,9 @@
 		ID: fleet.NodeID(fmt.Sprintf("node-%d", i)), Region: "here", LinkAddr: l.Addr(), GossipAddr: "127.0.0.1:0",
 	}
 	cfg := Config{Seeds: seeds, ProbeInterval: 200 * time.Millisecond, ProbeTimeout: 50 * time.Millisecond}
+	if i < 2 {
+		local.Control, cfg.Departures = true, &memDisk{}
+	}
 	g, err = New(cfg, local, ring.Gossip, d, logging.Discard())
 	assert.NilError(t, err)
 	mux := link.NewMux(logging.Discard())
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -19,6 +19,8 @@
 	kindIndirectPing                         // asks the receiver to ping Subject
 	kindPush                                 // carries changes, or just the sender's new configuration version
 	kindRecordRequest                        // asks the receiver for its record of Subject
+	kindStore                                // asks a control VM to store the departures that it carries
+	kindStored                               // answers kindStore once they are on the disk
 )
 
 // message is the content of one datagram.
@@ -183,7 +185,7 @@
 	if err := datagramDecoding.Unmarshal(b, &m); err != nil {
 		return message{}, nil, fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	if m.Kind < kindPing || m.Kind > kindRecordRequest || !validName(string(m.From)) || len(m.Subject) > maxName {
+	if m.Kind < kindPing || m.Kind > kindStored || !validName(string(m.From)) || len(m.Subject) > maxName {
 		return message{}, nil, errMalformed
 	}
 	records := make([]record, len(m.Updates))
--- a/gossip/recall.go
+++ b/gossip/recall.go
@@ -51,8 +51,8 @@
 func (r *recall) finish() { r.doneOnce.Do(func() { close(r.done) }) }
 
 // RecordDeparture makes other members keep a departure of one of this node's upstreams, so that a later
-// process of this node learns of it. It returns once enough of them have acknowledged that, or the error of
-// ctx.
+// process of this node learns of it. It returns once enough of them have acknowledged that and
+// Config.DepartureDisks control VMs have it on their disks, or the error of ctx.
 func (g *Gossip) RecordDeparture(ctx context.Context, d fleet.Departure) error {
 	var number uint64
 	g.updateCore(func(c *core, now time.Time) { number = c.recordDeparture(now, d) })
--- a/gossip/sim_test.go
+++ b/gossip/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,11 +26,36 @@
 	loss      float64
 	events    map[fleet.NodeID][]fleet.Node // the changes that each node reported
 	nextTicks []time.Time                   // time of each node's next tick
-	bytes     int                           // sent in datagrams, including headers
+	// disks are those of the control VMs, by node. They outlast the processes.
+	disks [8]memDisk
+	bytes int // sent in datagrams, including headers
 	// exchanged is the number of bytes sent in full exchanges.
 	exchanged int
 }
 
+// simControls are the nodes that are control VMs.
+var simControls = []int{0, 1, 2, 5, 6}
+
+// memDisk is the disk of a control VM.
+type memDisk struct {
+	kept []fleet.KeptDeparture
+	// refuses makes all writes fail.
+	refuses bool
+	storeAt time.Time // when departures are stored next; zero if that is not due
+}
+
+// LoadDepartures implements DepartureStore.
+func (d *memDisk) LoadDepartures() ([]fleet.KeptDeparture, error) { return d.kept, nil }
+
+// SaveDepartures implements DepartureStore.
+func (d *memDisk) SaveDepartures(list []fleet.KeptDeparture) error {
+	if d.refuses {
+		return errors.New("no space left on device")
+	}
+	d.kept = list
+	return nil
+}
+
 type delivery struct {
 	at       time.Time
 	seq      int
@@ -69,6 +95,7 @@
 		Region:     fmt.Sprintf("region-%d", i%regions),
 		LinkAddr:   addrOf(i),
 		GossipAddr: addrOf(i),
+		Control:    slices.Contains(simControls, i),
 	}
 }
 
@@ -105,9 +132,17 @@
 
 // start starts a new process of node i.
 func (s *sim) start(i, regions int) *core {
-	cfg := Config{}
+	cfg := Config{DepartureDisks: 3}
 	cfg.setDefaults()
+	isControl := slices.Contains(simControls, i)
+	if isControl {
+		s.disks[i].storeAt = time.Time{}
+		cfg.Departures = &s.disks[i]
+	}
 	c := newCore(cfg, localNode(i, regions), s.rand.Uint64(), s.now, &counters{})
+	if isControl {
+		c.loadDepartures(s.now, s.disks[i].kept)
+	}
 	if i < len(s.nodes) {
 		s.nodes[i] = c
 	} else {
@@ -141,6 +176,10 @@
 	s.events[c.self.id] = append(s.events[c.self.id], changed...)
 	from := c.self.meta.GossipAddr
 	s.nextTicks[indexOf(from)] = c.nextTick()
+	if i := indexOf(from); c.storing.due && c.cfg.Departures != nil && s.disks[i].storeAt.IsZero() {
+		s.disks[i].storeAt = s.now.Add(saveDelay)
+	}
+	c.storing.due = false
 	for _, p := range packets {
 		if len(p.payload) > maxPlain {
 			s.t.Fatalf("message of %d bytes is larger than maxPlain", len(p.payload))
@@ -166,6 +205,11 @@
 				at, due = tick, s.nodes[i]
 			}
 		}
+		if i, disk := s.nextStore(); disk != nil && !disk.storeAt.After(at) {
+			s.now = later(s.now, disk.storeAt)
+			s.store(i)
+			continue
+		}
 		if len(s.pending) > 0 && !s.pending[0].at.After(at) {
 			next := heap.Pop(&s.pending).(delivery)
 			s.now = next.at
@@ -189,6 +233,33 @@
 	}
 }
 
+// nextStore returns the control VM that stores departures next, or nil.
+func (s *sim) nextStore() (next int, disk *memDisk) {
+	for _, i := range simControls {
+		d := &s.disks[i]
+		if d.storeAt.IsZero() || s.cores[addrOf(i)] == nil {
+			continue
+		}
+		if disk == nil || d.storeAt.Before(disk.storeAt) {
+			next, disk = i, d
+		}
+	}
+	return next, disk
+}
+
+// store stores the departures that control VM i knows.
+func (s *sim) store(i int) {
+	c, disk := s.nodes[i], &s.disks[i]
+	disk.storeAt = time.Time{}
+	version := c.storing.version
+	if disk.SaveDepartures(c.keptDepartures(s.now)) != nil {
+		c.storeFailed()
+	} else {
+		c.departuresStored(version)
+	}
+	s.collect(c)
+}
+
 func (s *sim) deliver(d delivery) {
 	c := s.cores[d.to]
 	if c == nil {
--- a/node/join.go
+++ b/node/join.go
@@ -19,7 +19,7 @@
 // the configuration by the control VMs and other nodes.
 func JoinFleet(settings Settings) Join {
 	return func(p Parts) (Membership, ConfigSource, error) {
-		g, err := gossip.New(gossip.Config{Seeds: settings.Seeds}, p.Self, p.Ring.Gossip, p.Dialer, p.Log)
+		g, err := gossip.New(gossip.Config{Seeds: settings.Seeds, DepartureDisks: settings.DepartureDisks}, p.Self, p.Ring.Gossip, p.Dialer, p.Log)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/node/settings.go
+++ b/node/settings.go
@@ -42,6 +42,9 @@
 
 	RevocationBound time.Duration `flag:"revocation-bound" usage:"how long after a key was taken from a customer requests with it may still run; a node that cannot tell refuses requests with keys; 0: no bound" range:"0s to 1h" validate:"min=0,max=1h"`
 
+	// DepartureDisks must exceed the number of control VMs whose disks may be lost at once.
+	DepartureDisks int `flag:"departure-disks" usage:"control VMs that must have it on their disks before the end that an upstream announces is acknowledged" range:"1 to 9" validate:"min=1,max=9"`
+
 	ReportBurn bool `flag:"report-burn" usage:"send counts of requests to the control VMs, for the report on how fast error budgets are used up"`
 
 	QuotaWindow    time.Duration `flag:"quota-window" usage:"window in which the requests of a customer that run are bounded by its quota, the same at all processes" range:"100ms to 1h" validate:"min=100ms,max=1h"`
@@ -62,11 +65,14 @@
 		QuotaWindow: bounds.Window, QuotaOvershoot: bounds.Overshoot, QuotaTolerance: bounds.Tolerance,
 		LinkSecurity:  keys.SecurityKeys,
 		LinkTransport: "tls",
-		ReportBurn:    true,
-		LinkConns:     2,
-		DrainTimeout:  30 * time.Second,
-		LogLevel:      "info",
-		LogFormat:     "text",
+		// A control group of three bears the loss of one disk.
+		DepartureDisks: 2,
+
+		ReportBurn:   true,
+		LinkConns:    2,
+		DrainTimeout: 30 * time.Second,
+		LogLevel:     "info",
+		LogFormat:    "text",
 	}
 }
 
