Sync the folder of stored departures

Callers would see: a loss of power undoes the rename by which a control VM stored a departure, so that an acknowledged one is forgotten.

Change: the folder is synced before the departure counts as stored. TestDepartureFileIsDurable fails without the call.

--- a/controld/departures.go
+++ b/controld/departures.go
@@ -20,7 +20,14 @@
 )
 
 // departureFile is a file with the departures that membership keeps. It implements gossip.DepartureStore.
-type departureFile struct{ path string }
+type departureFile struct {
+	path       string
+	syncFolder func(folder string) error
+}
+
+func newDepartureFile(dataDir string) departureFile {
+	return departureFile{filepath.Join(dataDir, departureFileName), syncFolder}
+}
 
 // LoadDepartures implements gossip.DepartureStore.
 func (f departureFile) LoadDepartures() ([]fleet.KeptDeparture, error) {
@@ -44,8 +51,22 @@
 	if err != nil {
 		return err
 	}
-	if err := renameio.WriteFile(f.path, b, departureFileMode, renameio.WithTempDir(filepath.Dir(f.path))); err != nil {
+	folder := filepath.Dir(f.path)
+	if err := renameio.WriteFile(f.path, b, departureFileMode, renameio.WithTempDir(folder)); err != nil {
 		return fmt.Errorf("controld: %w", err)
 	}
+	// Without this, a loss of power may undo the rename.
+	if err := f.syncFolder(folder); err != nil {
+		return fmt.Errorf("controld: sync %s: %w", folder, err)
+	}
 	return nil
 }
+
+// syncFolder makes the names in a folder durable.
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
--- a/controld/departures_test.go
+++ b/controld/departures_test.go
@@ -14,7 +14,7 @@
 // Guards against departures that are lost or altered on the disk of a control VM, and against a file that
 // cannot be read and keeps the member from starting.
 func TestDepartureFile(t *testing.T) {
-	f := departureFile{filepath.Join(t.TempDir(), departureFileName)}
+	f := newDepartureFile(t.TempDir())
 	list, err := f.LoadDepartures()
 	assert.NilError(t, err)
 	assert.Equal(t, len(list), 0)
@@ -38,3 +38,21 @@
 	_, err = f.LoadDepartures()
 	assert.Assert(t, err != nil)
 }
+
+// Guards against departures that count as stored although a loss of power can undo the rename of their file.
+func TestDepartureFileIsDurable(t *testing.T) {
+	f := newDepartureFile(t.TempDir())
+	list := []fleet.KeptDeparture{{Node: "n", Departure: fleet.Departure{Upstream: "u"}}}
+	synced := 0
+	f.syncFolder = func(folder string) error {
+		assert.Equal(t, folder, filepath.Dir(f.path))
+		kept, err := f.LoadDepartures()
+		assert.NilError(t, err)
+		synced = len(kept)
+		return syncFolder(folder)
+	}
+	assert.NilError(t, f.SaveDepartures(list))
+	assert.Equal(t, synced, len(list))
+	f.syncFolder = func(string) error { return os.ErrInvalid }
+	assert.ErrorIs(t, f.SaveDepartures(list), os.ErrInvalid)
+}
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -114,7 +113,7 @@
 		GossipAddr:    p.Settings.GossipAddr,
 		Control:       true,
 	}
-	departures := departureFile{filepath.Join(p.Settings.DataDir, departureFileName)}
+	departures := newDepartureFile(p.Settings.DataDir)
 	g, err := gossip.New(gossip.Config{Seeds: p.Settings.Seeds, Departures: departures}, self, p.Ring.Gossip, f.dialer, p.Log)
 	if err != nil {
 		return err
