Require keys also once the last customer is removed

TestLastCustomerOfARunningFleet and TestLastCustomerIsNotDeletedUnnoticed fail without the check of the resource API.

Change: limits/callers says whether keys are required while there is no customer. Related path: the resource API let the last customer be deleted, with the same effect; it refuses that until keysRequired is set. TestNoTwoCustomersHoldAKey sets it, since it deletes all customers.

--- a/control/keyholders.go
+++ b/control/keyholders.go
@@ -62,6 +62,33 @@
 	}
 }
 
+// checkLastCustomer records a fault if the batch deletes the last customer and nothing says whether requests still need
+// a key: without customers they need none, so that the removal of the last key would make every key good.
+func (s *staged) checkLastCustomer() {
+	count := len(s.m.index.names[resource.TypeCustomer])
+	var deleted []resource.Key
+	for _, w := range s.writes {
+		if w.Key.Type != resource.TypeCustomer {
+			continue
+		}
+		existed, exists := s.m.set.Get(w.Key) != nil, s.after[w.Key] != nil
+		switch {
+		case existed && !exists:
+			deleted = append(deleted, w.Key)
+			count--
+		case exists && !existed:
+			count++
+		}
+	}
+	if len(deleted) == 0 || count > 0 {
+		return
+	}
+	limits, ok := s.get(resource.Key{Type: resource.TypeLimits, Name: resource.LimitsName}).(*resource.Limits)
+	if !ok || limits.KeysRequired == nil {
+		s.addFault(deleted[0], "name", "is the last customer: set keysRequired of %s/%s, which says whether requests still need a key", resource.TypeLimits, resource.LimitsName)
+	}
+}
+
 // keepKeys gives the customer o of a write with KeepKeys the keys of the current one.
 func keepKeys(w *Write, o, current resource.Object) {
 	next, isCustomer := o.(*resource.Customer)
--- a/control/keyholders_test.go
+++ b/control/keyholders_test.go
@@ -27,6 +27,8 @@
 func TestNoTwoCustomersHoldAKey(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := NewMachine()
+		// All customers may be deleted.
+		assert.Equal(t, apply(t, m, putCommand(t, keysRequired(true))).Code, CodeOK)
 		names := []string{"a", "b", "c"}
 		held := map[string][]string{}
 		for range rapid.IntRange(1, 12).Draw(t, "changes") {
@@ -77,6 +79,35 @@
 	})
 }
 
+func keysRequired(required bool) *resource.Limits {
+	return &resource.Limits{Meta: meta(resource.LimitsName, 0), KeysRequired: &required}
+}
+
+// Guards against the removal of the last key that makes every key good, as nobody has said so.
+func TestLastCustomerIsNotDeletedUnnoticed(t *testing.T) {
+	deleteBoth := []Write{deleteWrite(1, resource.TypeCustomer, "a"), deleteWrite(1, resource.TypeCustomer, "b")}
+	for name, test := range map[string]struct {
+		writes   []Write
+		accepted bool
+		required bool
+	}{
+		"one of two":              {deleteBoth[:1], true, true},
+		"both":                    {deleteBoth, false, true},
+		"both, another comes":     {append(putCommand(t, customer("c", 0, "k")).Writes, deleteBoth...), true, true},
+		"both, still required":    {append(putCommand(t, keysRequired(true)).Writes, deleteBoth...), true, true},
+		"both, not required":      {append(putCommand(t, keysRequired(false)).Writes, deleteBoth...), true, false},
+		"both, limits say naught": {append(putCommand(t, &resource.Limits{Meta: meta(resource.LimitsName, 0)}).Writes, deleteBoth...), false, true},
+	} {
+		m := NewMachine()
+		assert.Equal(t, apply(t, m, putCommand(t, customer("a", 0, "k1"), customer("b", 0, "k2"))).Code, CodeOK)
+		r := apply(t, m, &Command{Op: OpWrite, Writes: test.writes})
+		assert.Equal(t, r.Code == CodeOK, test.accepted, "%s: %v", name, r.Faults)
+		set, err := m.Config()
+		assert.NilError(t, err)
+		assert.Equal(t, resource.Compile(set).KeysRequired(), test.required, name)
+	}
+}
+
 // keyHolder holds the configuration that Feed passes on.
 type keyHolder struct{ set *resource.Set }
 
--- a/control/stage.go
+++ b/control/stage.go
@@ -48,6 +48,7 @@
 	}
 	s.checkShares()
 	s.checkKeys()
+	s.checkLastCustomer()
 	s.finishResult()
 	return s
 }
--- a/ingress/customer.go
+++ b/ingress/customer.go
@@ -8,8 +8,8 @@
 	"github.com/godwithub/godwithub/resource"
 )
 
-// authenticate sets the customer of a request on a route that is not public, if the configuration has
-// customers. Its refusals never contain the key.
+// authenticate sets the customer of a request on a route that is not public, if the configuration requires
+// keys. Its refusals never contain the key.
 func (rq *request) authenticate(c *resource.Config, route *resource.Route, header string) error {
 	if !needsKey(c, route) {
 		return nil
@@ -35,7 +35,7 @@
 
 // needsKey reports whether requests of a route need the key of a customer.
 func needsKey(c *resource.Config, route *resource.Route) bool {
-	return len(c.Customers) > 0 && !route.Public
+	return c.KeysRequired() && !route.Public
 }
 
 // credentialOf returns the value of the header with a customer's key. ok is false if there is none, or if it is
--- a/localfleet/customers_test.go
+++ b/localfleet/customers_test.go
@@ -140,3 +140,30 @@
 	assert.Assert(t, strings.Contains(text, "configuration is not known to be current") && strings.Contains(text, "customer=acme"))
 	assert.Assert(t, !strings.Contains(text, "secret"), "a key is logged")
 }
+
+// Guards against the removal of the last customer after which every key is good, also those that nobody ever held.
+func TestLastCustomerOfARunningFleet(t *testing.T) {
+	f := startWithCustomers(t, &logBuffer{})
+	defer func() { assert.NilError(t, f.Stop()) }()
+	required := true
+	writes := []apiv1.Write{client.PutOf(&resource.Limits{Meta: resource.Meta{Name: resource.LimitsName}, KeysRequired: &required})}
+	for _, name := range []string{"acme", "bolt"} {
+		k := resource.Key{Type: resource.TypeCustomer, Name: name}
+		o, err := f.Client.Get(t.Context(), k)
+		assert.NilError(t, err)
+		writes = append(writes, client.DeleteOf(k, o.Metadata().Revision))
+	}
+	_, err := f.Client.Apply(t.Context(), writes[1:], client.WriteOptions{})
+	assert.ErrorContains(t, err, "last customer")
+	_, err = f.Client.Apply(t.Context(), writes, client.WriteOptions{})
+	assert.NilError(t, err)
+	time.Sleep(revocationBound)
+	for i := range f.CallerAddrs {
+		for key, want := range map[string]int{"secret-1": 401, "never-held": 401, "": 401} {
+			got, reason := status(t, f, i, "/", key)
+			assert.Equal(t, got, want, "node %d, key %q: %s", i, key, reason)
+		}
+		got, _ := status(t, f, i, "/open", "")
+		assert.Equal(t, got, 200)
+	}
+}
--- a/resource/config.go
+++ b/resource/config.go
@@ -14,7 +14,7 @@
 	Ranks    map[string]*Rank
 	Callers  map[string]*Caller
 	Groups   map[string]*Group
-	// Customers holds the customers. If there are any, requests need a key; see Route.Public.
+	// Customers holds the customers; see KeysRequired.
 	Customers map[string]*Customer
 	// Limits is nil if the configuration has none.
 	Limits *Limits
@@ -132,6 +132,12 @@
 // much of a key is right, since only digests are compared.
 func (c *Config) CustomerByKey(key string) *Customer { return c.customersByKey[DigestKey(key)] }
 
+// KeysRequired reports whether requests on routes that are not public need the key of a customer: if there are
+// customers, or if the configuration says so although there is none.
+func (c *Config) KeysRequired() bool {
+	return len(c.Customers) > 0 || c.Limits != nil && c.Limits.KeysRequired != nil && *c.Limits.KeysRequired
+}
+
 // HasRoutes reports whether the configuration has any route.
 func (c *Config) HasRoutes() bool { return len(c.routes) > 0 }
 
--- a/resource/object.go
+++ b/resource/object.go
@@ -269,14 +269,17 @@
 // It cannot collide with other kinds because valid names have no slash.
 const policyKindPrefix = "route/"
 
-// Limits bounds the size of callers' requests, and holds the timeouts for their headers and for
-// idle connections. There is only one object of this type, named LimitsName.
+// Limits bounds the size of callers' requests, holds the timeouts for their headers and for idle connections, and
+// says whether requests need a key. There is only one object of this type, named LimitsName.
 type Limits struct {
 	Meta
 	MaxHeaderBytes  int64 `json:"maxHeaderBytes" validate:"min=0"`
 	MaxBodyBytes    int64 `json:"maxBodyBytes" validate:"min=0"`
 	HeaderTimeoutMs int64 `json:"headerTimeoutMs" validate:"min=0"`
 	IdleTimeoutMs   int64 `json:"idleTimeoutMs" validate:"min=0"`
+	// KeysRequired says whether requests need the key of a customer while there are no customers. Nil: control
+	// refuses to delete the last one, and before the first one requests need no key.
+	KeysRequired *bool `json:"keysRequired,omitempty"`
 }
 
 // LimitsName is the name of the Limits object.
@@ -286,7 +289,14 @@
 func (*Limits) Type() Type { return TypeLimits }
 
 // Clone implements Object.
-func (l *Limits) Clone() Object { c := *l; return &c }
+func (l *Limits) Clone() Object {
+	c := *l
+	if l.KeysRequired != nil {
+		required := *l.KeysRequired
+		c.KeysRequired = &required
+	}
+	return &c
+}
 
 // Caller is a known sender of requests, named in the Godwithub-Caller header.
 type Caller struct {
