Take an answer without a length for cut if its reset hit the request

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written; the caller got that part as a complete answer (MIXED).

Cause: the system reports a reset to the first call that meets it. If that is the write of the request, the read of the answer sees a plain end.

Ruled out: the reader gets the reset and takes it for the end (it is an error there); the ingress loses the rest.

Change: at the end of an answer that ends with its connection, the writing of the request is interrupted, and an error that the connection has reported to it makes the answer incomplete.

--- a/dispatch/httpconn/exchange.go
+++ b/dispatch/httpconn/exchange.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -68,6 +70,9 @@
 		x.end(false, nil)
 		return nil, err
 	}
+	if endsWithConnection(resp) {
+		resp.Body = &unframedBody{resp.Body, x}
+	}
 	resp.Body = &body{ReadCloser: resp.Body, exchange: x, resp: resp}
 	return resp, nil
 }
@@ -238,18 +243,53 @@
 	return nil
 }
 
+// unframedBody is a body that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader. The system reports a reset once only. If it was reported to the writer of the request, the
+// end that is read here says nothing.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if fault := b.exchange.interruptWrite(); fault != nil && !errors.Is(fault, syscall.EPIPE) {
+		return n, fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, fault)
+	}
+	return n, io.EOF
+}
+
+// interruptWrite ends the writing of the request, and returns the error that the connection has reported to it before.
+// EPIPE means that the upstream had ended its side of the connection before a reset came.
+func (x *exchange) interruptWrite() error {
+	x.conn.SetWriteDeadline(time.Now()) // for a write that is blocked and holds the lock
+	x.sent.mu.Lock()
+	defer x.sent.mu.Unlock()
+	if errors.Is(x.sent.err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return x.sent.err
+}
+
 // countingWriter counts the bytes that a connection accepts.
 type countingWriter struct {
-	w   io.Writer
-	n   atomic.Int64
+	w  io.Writer
+	n  atomic.Int64
+	mu sync.Mutex // held during a write
+	// err is the first error of the connection.
 	err error
 }
 
 // Write implements io.Writer.
 func (c *countingWriter) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	n, err := c.w.Write(p)
 	c.n.Add(int64(n))
-	if err != nil {
+	if c.err == nil {
 		c.err = err
 	}
 	return n, err
--- a/dispatch/httpconn/head.go
+++ b/dispatch/httpconn/head.go
@@ -142,6 +142,11 @@
 	return nil
 }
 
+// endsWithConnection reports whether the body ends with the connection, since the answer does not say where.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // isChunked reports whether the body is chunked. Other encodings are not supported.
 func isChunked(resp *http.Response) (bool, error) {
 	encodings, ok := resp.Header["Transfer-Encoding"]
