Reset the connection of a cut answer to a caller of HTTP/1.0

Callers would see: an upstream breaks off a long answer without a length, and a caller of HTTP/1.0 gets the part as a complete answer.

Cause: the connection of a cut answer is aborted by closing it, which is how a complete answer without a length ends for HTTP/1.0.

Ruled out: answers with a length and answers that are held back; callers of HTTP/1.1, who get chunks without their end.

Change: the connection is reset for these callers.

--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/httpdrain"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/retry"
 )
@@ -324,6 +325,9 @@
 		}
 		// Part of the answer has been sent. Returning normally would make it look complete, so the
 		// caller's connection is aborted.
+		if h.answer.head.BodyBytes < 0 && !h.rq.http.ProtoAtLeast(1, 1) {
+			httpdrain.Reset(w) // for this caller, the end of the connection is the end of the answer
+		}
 		panic(http.ErrAbortHandler)
 	default:
 		writeFailure(w, h.rq.id, e, "", h.in.retryAfter(spreadRetryAfter(e)))
