Found no group of four or five founders whose quorums need not overlap

Callers would see: with four or more founders, some of which reach no other one for 2 s, two groups can be founded that both commit. The platform names three founders, for which the rule held.

Cause: a majority of the founders sufficed to found a group without the others. Two of three such founders are a quorum of their group, and the other three of five one of the group of all.

Ruled out: three founders (two quorums of two always overlap); groups that operators repair, which wait for all founders.

Change: a group is founded without absent founders only if twice its quorum exceeds the number of founders: two of three as before, four of five, all of four. TestQuorumsOfTwoFoundingsOverlap fails before with four founders.

--- a/controld/found_test.go
+++ b/controld/found_test.go
@@ -110,3 +110,32 @@
 		assert.Assert(t, len(members) == 0 || members.IsVoter(consensus.ReplicaID(1)))
 	}
 }
+
+// Guards against two groups that both commit, founded by founders of which some do not reach each other: a quorum of one
+// must have a replica in common with each quorum of the other.
+func TestQuorumsOfTwoFoundingsOverlap(t *testing.T) {
+	for n := 1; n <= 7; n++ {
+		var founders []address
+		var ids []string
+		for i := range n {
+			founders = append(founders, address{id: fmt.Sprint("f", i)})
+			ids = append(ids, founders[i].id)
+		}
+		smallest := n // number of founders with which a group is founded
+		for reachable := 1; reachable <= n; reachable++ {
+			view := foundingView{self: founders[0], selfID: 1, founders: founders, mayLeaveOut: true, others: map[string]founderState{}}
+			for i := 1; i < n; i++ {
+				state := founderState{info: memberInfo{ID: consensus.ReplicaID(i + 1), Blank: true, ConfiguredFounders: ids, Coordinator: "f0"}}
+				if i >= reachable {
+					state = founderState{err: errors.New("out of reach")}
+				}
+				view.others[founders[i].id] = state
+			}
+			if _, members, err := view.plan(); err == nil {
+				smallest = min(smallest, len(members))
+			}
+		}
+		quorum := smallest/2 + 1
+		assert.Assert(t, quorum+quorum > n, "%d founders: two quorums of groups of %d need not overlap", n, smallest)
+	}
+}
--- a/controld/foundingview.go
+++ b/controld/foundingview.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/quorum"
 )
 
 // foundingView is what a founder with a blank disk knows of the others, none of which belongs to a group.
@@ -38,9 +39,10 @@
 // error names what prevents the founding.
 //
 // A majority of the founders has to be ready: reachable and blank, with the same founders in their settings. So
-// two foundings have a founder in common, which has only one disk and one vote: their quorums overlap, and
 // no group can have acknowledged anything without a founder that is ready now. One that has lost its disk has
-// other settings and another replica id. It is taken in, but does not count as ready.
+// other settings and another replica id. It is taken in, but does not count as ready. Besides, the group has to be so
+// large that each of its quorums has a founder in common with each quorum of another founding: a founder has only one
+// disk and one vote, and replicas of both foundings take each other's messages.
 func (v *foundingView) plan() (coordinator string, members consensus.Membership, err error) {
 	if err := v.absent(); err != nil && !v.mayLeaveOut {
 		return "", nil, err
@@ -63,6 +65,9 @@
 	if len(ready) <= len(v.founders)/2 {
 		return "", nil, fmt.Errorf("controld: only %d of %d founders are ready", len(ready), len(v.founders))
 	}
+	if 2*quorum.Size(len(members)) <= len(v.founders) {
+		return "", nil, fmt.Errorf("controld: a group of %d of %d founders might not be the only one", len(members), len(v.founders))
+	}
 	coordinator = slices.Min(ready)
 	if coordinator != v.self.id {
 		return coordinator, nil, fmt.Errorf("controld: %s has not founded the group yet", coordinator)
