Let a founder that founded alone join the group of the others

Callers saw: the first seed founds the control group and is killed before the others know; they found another group, and the seed stays outside for good.

Cause: the founder takes what it stored alone for what the group agreed on. By that it is a voter, so that it never asks to join.

Change: a replica that holds nothing but its founding and knows no leader asks the other control processes. If one belongs to a group with a leader without it, it discards the founding and joins as a blank replica with a new id.

--- a/consensus/disk/disk.go
+++ b/consensus/disk/disk.go
@@ -186,11 +186,7 @@
 
 // initialize creates the buckets and stores the format version and a new random replica id.
 func (s *Store) initialize(tx *bbolt.Tx) error {
-	var b [8]byte
-	for s.id == 0 {
-		rand.Read(b[:])
-		s.id = consensus.ReplicaID(binary.BigEndian.Uint64(b[:]))
-	}
+	s.id = newReplicaID()
 	meta, err := tx.CreateBucket(metaBucket)
 	if err != nil {
 		return err
@@ -204,6 +200,15 @@
 	return putRecord(meta, idKey, s.id)
 }
 
+func newReplicaID() (id consensus.ReplicaID) {
+	var b [8]byte
+	for id == 0 {
+		rand.Read(b[:])
+		id = consensus.ReplicaID(binary.BigEndian.Uint64(b[:]))
+	}
+	return id
+}
+
 func syncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
@@ -237,6 +242,32 @@
 	return nil
 }
 
+// Discard turns the store into a blank one with a new replica id. The founders stay. It must not be called while a replica
+// uses the store.
+func (s *Store) Discard() error {
+	id := newReplicaID()
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		if err := tx.DeleteBucket(logBucket); err != nil {
+			return err
+		}
+		if _, err := tx.CreateBucket(logBucket); err != nil {
+			return err
+		}
+		meta := tx.Bucket(metaBucket)
+		for _, key := range [][]byte{hardKey, snapshotKey} {
+			if err := meta.Delete(key); err != nil {
+				return err
+			}
+		}
+		return putRecord(meta, idKey, id)
+	})
+	if err != nil {
+		return fmt.Errorf("disk: discard: %w", err)
+	}
+	s.id = id
+	return nil
+}
+
 // Load implements consensus.Store. It verifies the checksum of every record.
 func (s *Store) Load() (stored consensus.Stored, err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
--- a/consensus/disk/disk_test.go
+++ b/consensus/disk/disk_test.go
@@ -163,3 +163,32 @@
 	defer s.Close()
 	return s.Load()
 }
+
+// Guards against a discarded replica that still holds something of its group, or votes under its old id.
+func TestDiscard(t *testing.T) {
+	dir := t.TempDir()
+	s, err := Open(dir)
+	assert.NilError(t, err)
+	founders := []string{"a", "b"}
+	assert.NilError(t, s.SaveFounders(founders))
+	old := s.ID()
+	stored := consensus.FounderState(old, consensus.Membership{{ID: old, Voter: true}}, []byte("state"))
+	entries := []consensus.Entry{{Index: 2, Term: 1}}
+	assert.NilError(t, s.Save(consensus.Batch{Hard: &stored.Hard, Snapshot: &stored.Snapshot, Entries: entries}))
+	assert.NilError(t, s.Discard())
+	for range 2 {
+		assert.Assert(t, s.ID() != old)
+		got, err := s.Load()
+		assert.NilError(t, err)
+		assert.Assert(t, got.Blank() && got.ID == s.ID())
+		kept, err := s.Founders()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, kept, founders)
+		id := s.ID()
+		assert.NilError(t, s.Close())
+		s, err = Open(dir)
+		assert.NilError(t, err)
+		assert.Equal(t, s.ID(), id)
+	}
+	assert.NilError(t, s.Close())
+}
--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -44,13 +44,20 @@
 	candidateAddrs func() []string
 }
 
-// run sends join requests while this replica is not a voter, until ctx ends. An error is logged
-// when it differs from the last one.
+// run sends join requests while this replica is not a voter, until ctx ends. A replica that is a voter only in a founding
+// of its own gives that up first, if the others have founded a group without it. An error is logged when it differs
+// from the last one.
 func (j *joiner) run(ctx context.Context) {
 	lastLogged := ""
 	for sleep(ctx, joinInterval) {
 		r := j.replica.Load()
-		if r == nil || j.leaving.Load() || r.Status().Membership.IsVoter(j.store.ID()) {
+		if r == nil || j.leaving.Load() {
+			continue
+		}
+		if status := r.Status(); status.Membership.IsVoter(status.ID) {
+			if holdsOnlyFounding(status) && j.othersHaveGroup(ctx, status) {
+				j.discardFounding(r)
+			}
 			continue
 		}
 		if err := j.requestJoin(ctx); err != nil && err.Error() != lastLogged {
@@ -73,7 +80,7 @@
 		case err != nil:
 			lastErr = err
 		case reply.Done:
-			j.log.Info("taken into the group", "replica", j.store.ID().String(), "by", addrs[i])
+			j.log.Info("taken into the group", "replica", j.replicaID().String(), "by", addrs[i])
 			return nil
 		case reply.Leader != "" && !slices.Contains(addrs, reply.Leader):
 			addrs = append(addrs, reply.Leader)
@@ -125,7 +132,7 @@
 	}
 	if leader, addr, ok := r.Leader(); !ok {
 		return joinReply{Fault: "no leader is known"}
-	} else if leader != j.store.ID() {
+	} else if leader != j.replicaID() {
 		return joinReply{Leader: parseAddress(addr).linkAddr}
 	}
 	status := r.Status()
@@ -147,7 +154,7 @@
 		if r == nil {
 			continue
 		}
-		if leader, _, ok := r.Leader(); !ok || leader != j.store.ID() {
+		if leader, _, ok := r.Leader(); !ok || leader != j.replicaID() {
 			j.silent.clear()
 			continue
 		}
--- a/controld/current.go
+++ b/controld/current.go
@@ -119,7 +119,7 @@
 	if !ok {
 		return errors.New("controld: no leader is known")
 	}
-	if leader == g.store.ID() {
+	if leader == g.replicaID() {
 		return r.ReadBarrier(ctx)
 	}
 	v, err := g.fetchLeaderVersion(ctx, parseAddress(addr).linkAddr)
--- a/controld/found.go
+++ b/controld/found.go
@@ -33,6 +33,8 @@
 	ConfiguredFounders []string `cbor:"4,keyasint,omitempty"`
 	// Coordinator is the founder that is to found the group, according to this replica.
 	Coordinator string `cbor:"5,keyasint,omitempty"`
+	// Membership is the latest committed one that the replica knows. It is empty while the replica knows no leader.
+	Membership consensus.Membership `cbor:"6,keyasint,omitempty"`
 }
 
 // handleInfo answers with the memberInfo of this replica.
@@ -47,9 +49,13 @@
 func (g *Group) info() memberInfo {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	info := memberInfo{ID: g.store.ID(), Blank: g.blank, InitialMembership: g.initialMembership, Coordinator: g.coordinator}
-	if r := g.replica.Load(); r != nil && r.Status().Last > 0 {
-		info.Blank = false
+	info := memberInfo{ID: g.replicaID(), Blank: g.blank, InitialMembership: g.initialMembership, Coordinator: g.coordinator}
+	if r := g.replica.Load(); r != nil {
+		status := r.Status()
+		info.Blank = info.Blank && status.Last == 0
+		if status.Leader != 0 && status.MembershipCommitted {
+			info.Membership = status.Membership
+		}
 	}
 	for _, f := range g.founders {
 		info.ConfiguredFounders = append(info.ConfiguredFounders, f.id)
@@ -58,7 +64,7 @@
 }
 
 // fetchMemberInfo returns the memberInfo of the replica at linkAddr. It fails with a wrongNameError
-// if the process there is not certified as id.
+// if the process there is not certified as id, unless that is empty.
 func (g *Group) fetchMemberInfo(ctx context.Context, id, linkAddr string) (memberInfo, error) {
 	ctx, cancel := context.WithTimeout(ctx, infoTimeout)
 	defer cancel()
@@ -68,7 +74,7 @@
 	}
 	defer s.Reset()
 	s.SetReadDeadline(time.Now().Add(infoTimeout))
-	if name := s.PeerName(); name != id {
+	if name := s.PeerName(); id != "" && name != id {
 		return memberInfo{}, &wrongNameError{id, name, linkAddr}
 	}
 	var info memberInfo
@@ -101,7 +107,7 @@
 		founders, exists, err := g.findFounders(ctx, &absentSince)
 		if err == nil {
 			if exists && founders == nil {
-				g.log.Info("the group exists; this replica waits to be added", "replica", g.store.ID().String())
+				g.log.Info("the group exists; this replica waits to be added", "replica", g.replicaID().String())
 			}
 			// The initial membership is not told to others before it is stored, so a founder whose
 			// disk fails may try again.
@@ -147,13 +153,13 @@
 // replica is not in its initial membership. The error names what still prevents a decision.
 // absentSince is since when founders have been out of reach; it is updated.
 func (g *Group) findFounders(ctx context.Context, absentSince *time.Time) (founders consensus.Membership, exists bool, err error) {
-	view := foundingView{self: g.self, selfID: g.store.ID(), founders: g.founders, others: g.askFounders(ctx)}
+	view := foundingView{self: g.self, selfID: g.replicaID(), founders: g.founders, others: g.askFounders(ctx)}
 	for _, f := range g.founders {
 		state, asked := view.others[f.id]
 		if !asked || state.err != nil || state.info.Blank {
 			continue
 		}
-		if !state.info.InitialMembership.IsVoter(g.store.ID()) {
+		if !state.info.InitialMembership.IsVoter(g.replicaID()) {
 			return nil, true, nil
 		}
 		return state.info.InitialMembership, true, nil
--- a/controld/leave_test.go
+++ b/controld/leave_test.go
@@ -31,7 +31,7 @@
 	g, members := startReplaced(t)
 	leader := g.leaderOf(members, "c1")
 	group := func(name string) *Group { return members[name].replication.(*Group) }
-	id := func(name string) consensus.ReplicaID { return group(name).store.ID() }
+	id := func(name string) consensus.ReplicaID { return group(name).replicaID() }
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	errs := make(chan error)
@@ -87,9 +87,9 @@
 	g.selfRepair = true
 	group := g.start("c1", "c1").replication.(*Group)
 	waitFor(t, group.confirmedOnce)
-	assert.Assert(t, group.isReplicaOf(group.store.ID(), "c1"))
-	assert.Assert(t, !group.isReplicaOf(group.store.ID(), "c2"))
-	assert.Assert(t, group.isReplicaOf(group.store.ID()+1, "c2"), "not a member, so that nothing is changed")
+	assert.Assert(t, group.isReplicaOf(group.replicaID(), "c1"))
+	assert.Assert(t, !group.isReplicaOf(group.replicaID(), "c2"))
+	assert.Assert(t, group.isReplicaOf(group.replicaID()+1, "c2"), "not a member, so that nothing is changed")
 }
 
 func (g *Group) confirmedOnce() error {
--- a/controld/members.go
+++ b/controld/members.go
@@ -136,7 +136,7 @@
 func (c *memberChange) anySilent(id string, other consensus.ReplicaID) bool {
 	heard := c.replica.Status().Heard
 	return slices.ContainsFunc(c.replicasOf(id, other), func(r consensus.ReplicaID) bool {
-		return r != c.store.ID() && !heard[r]
+		return r != c.replicaID() && !heard[r]
 	})
 }
 
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -48,7 +48,8 @@
 	machine    *control.Machine
 	dialer     link.Dialer
 	transport  *replica.LinkTransport
-	store      *loadedStore
+	dataDir    string
+	store      atomic.Pointer[loadedStore]
 
 	replica    atomic.Pointer[replica.Replica] // nil until started
 	done       chan struct{}
@@ -104,11 +105,12 @@
 		founders: founders, log: log, machine: p.Machine, dialer: p.Dialer,
 		selfRepair: p.Settings.SelfRepair,
 		transport:  replica.NewLinkTransport(p.Dialer, linkAddrOf, log),
-		store:      &loadedStore{store, stored},
+		dataDir:    p.Settings.DataDir,
 		done:       make(chan struct{}),
 		blank:      stored.Blank(),
 		changeSlot: make(chan struct{}, 1),
 	}
+	g.store.Store(&loadedStore{store, stored})
 	if stored.Snapshot.Index == 1 {
 		g.initialMembership = stored.Snapshot.Membership
 	}
@@ -160,7 +162,7 @@
 	r, err := replica.Start(replica.Config{
 		Group: groupName, Addr: g.self.String(), Founders: founders,
 		Core:  consensus.Config{Seed: rand.Uint64()},
-		Store: g.store, Machine: g.machine, Transport: g.transport,
+		Store: g.store.Load(), Machine: g.machine, Transport: g.transport,
 		SnapshotBytes: snapshotBytes, Log: g.log,
 	})
 	if err != nil {
@@ -173,8 +175,13 @@
 	g.replica.Store(r)
 	g.mu.Unlock()
 	g.transport.Register(groupName, r)
-	go func() { <-r.Done(); g.closeDone() }()
-	g.log.Info("replica is up", "replica", g.store.ID().String(), "founders", len(founders))
+	go func() {
+		<-r.Done()
+		if g.replica.Load() == r { // not discarded
+			g.closeDone()
+		}
+	}()
+	g.log.Info("replica is up", "replica", g.replicaID().String(), "founders", len(founders))
 	return nil
 }
 
@@ -265,7 +272,7 @@
 	leader, addr, ok := r.Leader()
 	a := parseAddress(addr)
 	// An earlier replica with this node id must not be mistaken for this one.
-	if !ok || a.id == "" || a.id == g.self.id && leader != g.store.ID() {
+	if !ok || a.id == "" || a.id == g.self.id && leader != g.replicaID() {
 		return "", "", false
 	}
 	return a.id, a.apiAddr, true
@@ -279,5 +286,8 @@
 	if r := g.replica.Load(); r != nil {
 		return r.Stop()
 	}
-	return g.store.Close()
+	return g.store.Load().Close()
 }
+
+// replicaID returns the id of the local replica.
+func (g *Group) replicaID() consensus.ReplicaID { return g.store.Load().ID() }
