Pass bytes above 0x7f in header values unchanged

Cause: messages between nodes hold headers as text, and their decoder refuses text that is not UTF-8.

Ruled out: the HTTP server and the exchange with the upstream, which pass such bytes; control characters, which get 400 before anything runs, as before.

Change: the decoder of messages accepts any bytes in text. Records of idempotency keys use the same one. While nodes of both versions run, an older one still refuses such messages.

--- a/wire/wire.go
+++ b/wire/wire.go
@@ -56,6 +56,9 @@
 	// Idempotency groups.
 	FrameGroupCall   link.FrameType = 40 // command for a group
 	FrameGroupResult link.FrameType = 41 // result of a command
+	// FrameGroupStatus asks a node for its replica of a group. It carries a GroupStatusRequest and is answered with
+	// a GroupStatus.
+	FrameGroupStatus link.FrameType = 42
 )
 
 // Header is one HTTP header field. Messages carry a list of them, which keeps the order and
@@ -308,7 +311,11 @@
 }
 
 func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: 16}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: 16,
+		// Values of headers may have any bytes above 0x7f (obs-text in RFC 9110).
+		UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
