Send targets as callers sent them, and find routes by their bytes

Cause: the target was parsed and written again at the ingress and at the dispatcher, and routes were found by the decoded path.

Ruled out: the hop between nodes, which carries the target as text.

A target that begins with two slashes is still sent as net/url writes it.

--- a/ingress/fleet_test.go
+++ b/ingress/fleet_test.go
@@ -47,6 +47,7 @@
 	// idempotent says whether requests may run more than once.
 	idempotent bool
 	// deadlineMs is the deadline of requests; 0: 3 s.
+	path       string // of the request kind; empty: that of testView
 	deadlineMs int64
 	// retryRatio and retrySlack bound the retries of the fleet if they are above 0.
 	retryRatio, retrySlack float64
@@ -113,6 +114,9 @@
 	v := testView()
 	v.Self = fleet.Node{ID: fleet.NodeID(fmt.Sprint("n", i)), Region: "r", FailureDomain: "d"}
 	v.Config.Kinds["order"].DeadlineMs, v.Config.Kinds["order"].Idempotent = cmp.Or(f.deadlineMs, 3000), f.idempotent
+	if f.path != "" {
+		v.Config.Kinds["order"].Path = f.path
+	}
 	v.Upstreams = map[string][]board.Upstream{}
 	for j, n := range f.nodes {
 		u := board.Upstream{Node: fleet.NodeID(fmt.Sprint("n", j)), LinkAddr: fmt.Sprint(j), Region: "r", FailureDomain: "d"}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -31,8 +31,10 @@
 
 // request is a caller's request that has been parsed and matched to its kind.
 type request struct {
-	id      string
-	began   time.Time
+	id    string
+	began time.Time
+	// target is the path and query as the caller sent them.
+	target  string
 	service *resource.Service
 	kind    *resource.RequestKind
 	level   int
@@ -84,7 +86,7 @@
 // parse validates the head of a caller's request and matches it to its kind. The id of
 // the returned request is set even if parse returns a refusal.
 func (in *Ingress) parse(v *board.View, r *http.Request, now time.Time) (*request, error) {
-	rq := &request{began: now, http: r, origin: in.cfg.Origin, body: &reqbody.Body{}}
+	rq := &request{began: now, http: r, target: targetOf(r), origin: in.cfg.Origin, body: &reqbody.Body{}}
 	if err := rq.setID(in.cfg.CallerProtocol.RequestID); err != nil {
 		return rq, err
 	}
@@ -127,21 +129,46 @@
 
 // match sets the service, kind and level of the request, and returns its route.
 func (rq *request) match(c *resource.Config) (*resource.Route, error) {
-	route, err := findRoute(c, rq.http)
+	route, err := findRoute(c, rq.http, pathOf(rq.target))
 	if err != nil {
 		return nil, err
 	}
 	return route, rq.matchService(c, route, route.ChooseService(rand.Float64()))
 }
 
-func findRoute(c *resource.Config, r *http.Request) (*resource.Route, error) {
-	route := c.Route(r.Host, r.URL.Path)
+func findRoute(c *resource.Config, r *http.Request, path string) (*resource.Route, error) {
+	route := c.Route(r.Host, path)
 	if route == nil {
-		return nil, refuse(outcome.ReasonNoRoute, "no route for host %q and path %q", r.Host, r.URL.Path)
+		return nil, refuse(outcome.ReasonNoRoute, "no route for host %q and path %q", r.Host, path)
 	}
 	return route, nil
 }
 
+// targetOf returns the path and query of a request as the caller sent them. An upstream may tell targets apart that a
+// parser takes for the same, such as an encoded slash and a plain one.
+func targetOf(r *http.Request) string {
+	target := r.RequestURI
+	if r.URL.IsAbs() {
+		_, rest, _ := strings.Cut(target, "://")
+		slash := strings.IndexAny(rest, "/?")
+		if slash < 0 || rest[slash] == '?' {
+			target = ""
+		} else {
+			target = rest[slash:]
+		}
+	}
+	if !strings.HasPrefix(target, "/") {
+		return r.URL.RequestURI()
+	}
+	return target
+}
+
+// pathOf returns the path of a target.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 // matchService sets the service, kind and level of a request that goes to a service of its route.
 func (rq *request) matchService(c *resource.Config, route *resource.Route, service string) error {
 	r := rq.http
@@ -151,10 +178,10 @@
 	}
 	rq.kind = c.PolicyKind(route)
 	if rq.kind == nil {
-		rq.kind = c.Kind(rq.service.Name, r.Method, r.URL.Path)
+		rq.kind = c.Kind(rq.service.Name, r.Method, pathOf(rq.target))
 	}
 	if rq.kind == nil {
-		return refuse(outcome.ReasonNoKind, "service %s has no request kind for %s %q", rq.service.Name, r.Method, r.URL.Path)
+		return refuse(outcome.ReasonNoKind, "service %s has no request kind for %s %q", rq.service.Name, r.Method, pathOf(rq.target))
 	}
 	if rank := c.Ranks[rq.kind.Rank]; rank != nil {
 		rq.level = rank.Level
@@ -281,7 +308,7 @@
 	d.Reset()
 	d.WriteString(rq.kind.Name)
 	d.WriteString("\x00")
-	d.WriteString(rq.http.URL.RequestURI())
+	d.WriteString(rq.target)
 	d.WriteString("\x00")
 	held := rq.body.Held()
 	if !rq.body.Whole() {
@@ -303,7 +330,7 @@
 		Key:         rq.key,
 		RemainingMs: rq.deadline.Sub(now).Milliseconds(),
 		Method:      rq.http.Method,
-		Target:      rq.http.URL.RequestURI(),
+		Target:      rq.target,
 		Host:        rq.http.Host,
 		Headers:     dispatch.EndToEnd(rq.http.Header),
 		BodyBytes:   rq.body.Length(),
--- a/ingress/route.go
+++ b/ingress/route.go
@@ -34,8 +34,9 @@
 		out.Refusals = explainRefusal(err)
 		return out
 	}
-	r := &http.Request{Method: q.Method, Host: q.Host, URL: &url.URL{Path: q.Path}}
-	route, err := findRoute(v.Config, r)
+	r := &http.Request{Method: q.Method, Host: q.Host, URL: &url.URL{Path: q.Path}, RequestURI: q.Path}
+	target := targetOf(r)
+	route, err := findRoute(v.Config, r, pathOf(target))
 	if err != nil {
 		out.Refusals = explainRefusal(err)
 		return out
@@ -53,7 +54,7 @@
 		parts = []resource.WeightedService{{Service: route.Service, Weight: 1}}
 	}
 	for _, part := range parts {
-		rq := &request{http: r, body: &reqbody.Body{}}
+		rq := &request{http: r, target: target, body: &reqbody.Body{}}
 		p := explain.RoutePart{Service: part.Service, Weight: part.Weight, Candidates: []explain.Candidate{}}
 		if err := rq.matchService(v.Config, route, part.Service); err != nil {
 			p.Refusals = explainRefusal(err)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -187,8 +187,12 @@
 	return time.Duration(h.RemainingMs) * time.Millisecond
 }
 
-// URL returns the URL of the request at the upstream's address.
+// URL returns the URL of the request at the upstream's address. A request with it is sent with the target as it is, unless
+// that begins with two slashes, which would name a host.
 func (h *AttemptHead) URL(addr string) *url.URL {
+	if strings.HasPrefix(h.Target, "/") && !strings.HasPrefix(h.Target, "//") {
+		return &url.URL{Scheme: "http", Host: addr, Opaque: h.Target}
+	}
 	path, query, _ := strings.Cut(h.Target, "?")
 	u := &url.URL{Scheme: "http", Host: addr, RawQuery: query}
 	if unescaped, err := url.PathUnescape(path); err == nil {
