Sync folders by one function

No change of behaviour: the tests of both packages pass, TestDepartureFileIsDurable among them. Ruled out: a package of its own for one function of nine lines.

--- a/consensus/disk/disk.go
+++ b/consensus/disk/disk.go
@@ -141,7 +141,7 @@
 	if err := s.db.Update(s.initialize); err != nil {
 		return fmt.Errorf("disk: %w", err)
 	}
-	return syncFolder(folder)
+	return SyncFolder(folder)
 }
 
 // readSink keeps the compiler from removing the reads of readEnds.
@@ -209,7 +209,8 @@
 	return id
 }
 
-func syncFolder(folder string) error {
+// SyncFolder makes the names in a folder durable: those of files that were created, renamed or removed.
+func SyncFolder(folder string) error {
 	f, err := os.Open(folder)
 	if err != nil {
 		return fmt.Errorf("disk: %w", err)
--- a/controld/departures.go
+++ b/controld/departures.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/renameio/v2"
 
+	"github.com/godwithub/godwithub/consensus/disk"
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -26,7 +27,7 @@
 }
 
 func newDepartureFile(dataDir string) departureFile {
-	return departureFile{filepath.Join(dataDir, departureFileName), syncFolder}
+	return departureFile{filepath.Join(dataDir, departureFileName), disk.SyncFolder}
 }
 
 // LoadDepartures implements gossip.DepartureStore.
@@ -57,16 +58,7 @@
 	}
 	// Without this, a loss of power may undo the rename.
 	if err := f.syncFolder(folder); err != nil {
-		return fmt.Errorf("controld: sync %s: %w", folder, err)
+		return fmt.Errorf("controld: %w", err)
 	}
 	return nil
 }
-
-// syncFolder makes the names in a folder durable.
-func syncFolder(folder string) error {
-	f, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	return errors.Join(f.Sync(), f.Close())
-}
--- a/controld/departures_test.go
+++ b/controld/departures_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/godwithub/godwithub/consensus/disk"
 	"github.com/godwithub/godwithub/fleet"
 )
 
@@ -49,7 +50,7 @@
 		kept, err := f.LoadDepartures()
 		assert.NilError(t, err)
 		synced = len(kept)
-		return syncFolder(folder)
+		return disk.SyncFolder(folder)
 	}
 	assert.NilError(t, f.SaveDepartures(list))
 	assert.Equal(t, synced, len(list))
