Ask the leader for a vote also if it is no seed

Callers would see: a control member that was away while all VMs of its settings were replaced takes the log of the new leader, learns that it has no vote, and asks the old VMs for one in vain, until membership names the new ones.

Cause: join requests went to the seeds and to the control VMs that membership knows, not to the leader that the replica itself knows.

Ruled out: the refusal of the leader's streams, mended before.

Change: the leader is asked first.

--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -71,6 +71,10 @@
 func (j *joiner) requestJoin(ctx context.Context) error {
 	lastErr := errors.New("no other control process is known")
 	addrs := j.candidateAddrs()
+	if leader, ok := j.LeaderLink(); ok {
+		// The seeds of a member that was away for long may all be gone.
+		addrs = append([]string{leader}, addrs...)
+	}
 	for i := 0; i < len(addrs); i++ {
 		if addrs[i] == j.self.linkAddr {
 			continue
--- a/controld/group_test.go
+++ b/controld/group_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -35,6 +36,8 @@
 	killFuncs map[string]func()
 	// selfRepair makes members join the group and repair it by themselves.
 	selfRepair bool
+	// seeds are the members that the settings of a member name; nil: all.
+	seeds []string
 	// distributes connects members to nodes.
 	distributes bool
 	// listenAddrs holds the link addresses that members listen at, if others reach them at another one.
@@ -97,8 +100,10 @@
 	settings.Join = len(founders) == 0
 	settings.ShutdownTimeout = 2 * time.Second
 	settings.SelfRepair = g.selfRepair
-	for _, b := range g.addrs {
-		settings.Seeds = append(settings.Seeds, b.linkAddr)
+	for name, b := range g.addrs {
+		if g.seeds == nil || slices.Contains(g.seeds, name) {
+			settings.Seeds = append(settings.Seeds, b.linkAddr)
+		}
 	}
 	assert.NilError(g.t, settings.Check())
 	options, disconnect := Options{}, func() error { return nil }
--- a/controld/returning_test.go
+++ b/controld/returning_test.go
@@ -5,7 +5,7 @@
 )
 
 // Guards against a member that was away while all others were replaced, and that refuses the new ones and stays
-// without a log, a leader and a vote.
+// without a log, a leader and a vote. Its settings name only those that are gone.
 func TestMemberReturnsAfterAllOthersWereReplaced(t *testing.T) {
 	t.Parallel()
 	g := newTestGroup(t, "c1", "c2", "c3", "c4", "c5", "d1", "d2", "d3", "d4", "d5")
@@ -27,6 +27,7 @@
 		g.stop(old)
 		g.waitForVoters(d1, voters...)
 	}
+	g.seeds = []string{"c1", "c2", "c3"}
 	returned := g.start("c5")
 	g.waitForVoters(returned, "c5", "d1", "d2", "d3", "d4", "d5")
 	g.write(g.client("c5", "d1", "d2", "d3", "d4", "d5"), "a")
