Soak the life of the control group's members

A randomized script with real processes: first starts with a founder killed, planned replacements in a row with one member away, two disks lost or all processes killed right after an acknowledgement, clients that write and read throughout (checked for linearizability).

Added for it: members show under "group" in their metrics what they know of the group, since a member with a blank disk is listed under its old vote.

Failed tries: waiting for a line in the log of the new member (it may be of an earlier process); waiting for the leader's list alone, which let a third member be taken while two blank ones were not in yet.

--- a/controld/debug.go
+++ b/controld/debug.go
@@ -19,6 +19,9 @@
 		"consensus": expvar.Get("consensus"),
 		"memstats":  expvar.Get("memstats"),
 	}
+	if g, ok := d.replication.(*Group); ok {
+		vars["group"] = expvar.Func(func() any { return g.metrics() })
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		out := map[string]json.RawMessage{}
@@ -40,6 +43,32 @@
 	return mux
 }
 
+// groupMetrics is the state of a member of the control group, as it knows it.
+type groupMetrics struct {
+	Replica string `json:"replica"`
+	// Voter says whether this replica votes, by the latest membership that it knows.
+	Voter   bool   `json:"voter"`
+	Leader  string `json:"leader"` // node id; empty: not known
+	Term    uint64 `json:"term"`
+	Voters  int    `json:"voters"`
+	Members int    `json:"members"`
+	Last    uint64 `json:"last"` // index of the last log entry
+	Commit  uint64 `json:"commit"`
+}
+
+func (g *Group) metrics() groupMetrics {
+	r := g.replica.Load()
+	if r == nil {
+		return groupMetrics{Replica: g.replicaID().String()}
+	}
+	s := r.Status()
+	leader, _, _ := g.Leader()
+	return groupMetrics{
+		Replica: s.ID.String(), Voter: s.Membership.IsVoter(s.ID), Leader: leader, Term: s.Term,
+		Voters: s.Membership.VoterCount(), Members: len(s.Membership), Last: s.Last, Commit: s.Commit,
+	}
+}
+
 // apiMetrics returns the counters of the resource API, or an empty map if another API is served in
 // its place.
 func (d *Daemon) apiMetrics() expvar.Var {
--- a/scenario/control.go
+++ b/scenario/control.go
@@ -30,19 +30,29 @@
 // controlState is the control group of one script.
 type controlState struct {
 	count   int
-	relayed bool   // whether a relay is in front of each member's link address
-	token   string // API token of the script
-	client  *http.Client
+	relayed bool // whether a relay is in front of each member's link address
+	// selfRepair makes members join the group and repair it by themselves.
+	selfRepair bool
+	token      string // API token of the script
+	client     *http.Client
 	// appliedVersion is the configuration version of the last accepted write.
 	appliedVersion resource.Version
 }
 
 func controlName(i int) string { return "c" + strconv.Itoa(i) }
 
-// controlAddrs returns the addresses of all control VMs at a port.
+// maxControls is the number of control VMs that a script may use.
+const maxControls = 9
+
+// controlAddrs returns the addresses of all control VMs at a port. With a group that repairs itself, they include those
+// of VMs that have not been started yet.
 func (w *workspace) controlAddrs(port int) []string {
 	var out []string
-	for i := range w.control.count {
+	count := w.control.count
+	if w.control.selfRepair {
+		count = maxControls
+	}
+	for i := range count {
 		out = append(out, joinPort(w.vmAddr(firstControlVM+i), port))
 	}
 	return out
@@ -51,7 +61,7 @@
 // startControl starts a control group.
 func (w *workspace) startControl(ts *testscript.TestScript, countText string, relayed bool) error {
 	n, err := strconv.Atoi(countText)
-	if err != nil || n < 1 || n > 9 {
+	if err != nil || n < 1 || n > maxControls {
 		return scriptErrorf("invalid number of control VMs %q", countText)
 	}
 	if w.control.count > 0 {
--- a/scenario/flags.go
+++ b/scenario/flags.go
@@ -52,6 +52,9 @@
 	if w.control.relayed {
 		flags = append(flags, "-link-advertise", w.memberLinkAddr(m))
 	}
+	if w.control.selfRepair {
+		flags = append(flags, "-self-repair")
+	}
 	if join {
 		return append(flags, append(repeatFlag("-seeds", w.seeds()), "-join")...)
 	}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -85,6 +85,9 @@
 		return w.startControl(ts, rest[0], false)
 	case action == "control" && len(rest) == 2 && rest[1] == "relayed":
 		return w.startControl(ts, rest[0], true)
+	case action == "control" && len(rest) == 2 && rest[1] == "self-repair":
+		w.control.selfRepair = true
+		return w.startControl(ts, rest[0], false)
 	case action == "config" && len(rest) == 1:
 		if rest[0] == "default" {
 			return w.applyConfig(defaultConfig)
--- a/scenario/group.go
+++ b/scenario/group.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +25,10 @@
 //	                                  the members' processes
 //	group elections MAX               the running members have won at most MAX elections in all
 //	group join                        start another control process, which waits to be added
+//	group blank NAME                  start the process of a member with a blank disk, which waits to be added
+//	group voters TIMEOUT NAME...      wait until the leader counts exactly these members as voters, and so do
+//	                                  they themselves: one with a blank disk is not yet the voter that it was
+//	group votes TIMEOUT NAME          wait until the leader and the member itself count it as a voter
 //	group cli ARG...                  run the command-line client with the fleet's token
 //	group fill ROUTES CALLERS         create that many routes and callers
 //	group measure ...                 see measure.go
@@ -50,6 +55,12 @@
 		return w.expectElections(rest[0])
 	case action == "join" && len(rest) == 0:
 		return w.addMember(ts)
+	case action == "blank" && len(rest) == 1:
+		return w.startBlankMember(rest[0])
+	case action == "voters" && len(rest) > 1:
+		return w.waitVoters(rest[0], rest[1:], func(voters []string) bool { return slices.Equal(voters, slices.Sorted(slices.Values(rest[1:]))) })
+	case action == "votes" && len(rest) == 2:
+		return w.waitVoters(rest[0], rest[1:], func(voters []string) bool { return slices.Contains(voters, rest[1]) })
 	case action == "cli":
 		return w.runCLI(ts, rest)
 	case action == "fill" && len(rest) == 2:
@@ -111,7 +122,7 @@
 // once it is added by the command-line client.
 func (w *workspace) addMember(ts *testscript.TestScript) error {
 	i := w.control.count
-	if i == 0 || i >= 9 {
+	if i == 0 || i >= maxControls {
 		return scriptErrorf("group join needs a preceding fleet control and allows at most 9 members")
 	}
 	m := member{controlName(i + 1), firstControlVM + i}
@@ -123,6 +134,94 @@
 	return w.startMember(m, true)
 }
 
+// startBlankMember starts a member that has stopped again, with a blank disk.
+func (w *workspace) startBlankMember(name string) error {
+	if err := w.wipeData(name); err != nil {
+		return err
+	}
+	for i := range w.control.count {
+		if controlName(i+1) == name {
+			return w.startMember(member{name, firstControlVM + i}, true)
+		}
+	}
+	return scriptErrorf("%q is not a member of the control group", name)
+}
+
+// waitVoters waits until the sorted names of the voters, as the leader counts them, are as wanted, and the named members
+// count themselves as voters.
+func (w *workspace) waitVoters(timeoutText string, names []string, wanted func(voters []string) bool) error {
+	timeout, err := time.ParseDuration(timeoutText)
+	if err != nil {
+		return scriptErrorf("invalid timeout %q: %v", timeoutText, err)
+	}
+	return waitUntil(timeout, func() error {
+		voters, err := w.voters()
+		if err == nil && !wanted(voters) {
+			err = fmt.Errorf("the voters are %v", voters)
+		}
+		for _, name := range names {
+			if err == nil {
+				err = w.votes(name)
+			}
+		}
+		return err
+	})
+}
+
+// votes returns an error unless a member counts itself as a voter of a group with a leader.
+func (w *workspace) votes(name string) error {
+	for i := range w.control.count {
+		if controlName(i+1) != name {
+			continue
+		}
+		_, body, err := get("http://" + joinPort(w.vmAddr(firstControlVM+i), portDebug) + "/debug/vars")
+		if err != nil {
+			return err
+		}
+		var vars struct {
+			Group struct {
+				Voter  bool
+				Leader string
+			}
+		}
+		if err := json.Unmarshal(body, &vars); err != nil {
+			return err
+		}
+		if !vars.Group.Voter || vars.Group.Leader == "" {
+			return fmt.Errorf("%s has no vote (%+v)", name, vars.Group)
+		}
+		return nil
+	}
+	return scriptErrorf("%q is not a member of the control group", name)
+}
+
+// voters returns the names of the voters, as the leader reports them.
+func (w *workspace) voters() ([]string, error) {
+	err := errors.New("no control group has been started")
+	for _, addr := range w.controlAddrs(portAPI) {
+		// Members that do not lead redirect the request.
+		var status int
+		var body []byte
+		status, body, err = w.requestOnce(http.MethodGet, "https://"+addr+"/v1/members", nil, "")
+		if err != nil || status != http.StatusOK {
+			continue
+		}
+		var list apiv1.Members
+		if err = json.Unmarshal(body, &list); err != nil {
+			return nil, err
+		}
+		var out []string
+		for _, m := range list.Members {
+			if m.Voter {
+				out = append(out, m.ID)
+			}
+		}
+		slices.Sort(out)
+		return out, nil
+	}
+	return nil, errors.Join(errors.New("no member leads"), err)
+}
+
 func (w *workspace) startMemberRelay(m member) error {
 	if !w.control.relayed {
 		return nil
--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -51,6 +51,30 @@
 	testscript.Run(t, Params(dir, builtProgramDir))
 }
 
+// membersRounds and membersRoundsCI are the rounds of a manual soak of members, and of that in CI.
+const membersRounds, membersRoundsCI = 6, 2
+
+// Guards against members that return, are replaced or lose their disks, and leave the control group without a quorum, a
+// log or an acknowledged change. It runs a short soak, or the seeds of soakSeedsEnvVar if that is set.
+func TestMembersSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts many processes; skipped with -short")
+	}
+	soaks := []MembersSoak{{soakSeedCI, membersRoundsCI}}
+	if seeds := os.Getenv(soakSeedsEnvVar); seeds != "" {
+		soaks = nil
+		for _, s := range manualSoaks(t, seeds) {
+			soaks = append(soaks, MembersSoak{s.Seed, membersRounds})
+		}
+	}
+	dir := t.TempDir()
+	for _, s := range soaks {
+		assert.Equal(t, s.Script(), s.Script())
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, fmt.Sprintf("members_%d.txtar", s.Seed)), []byte(s.Script()), 0o644))
+	}
+	testscript.Run(t, Params(dir, builtProgramDir))
+}
+
 func manualSoaks(t *testing.T, seeds string) []Soak {
 	first, last, _ := strings.Cut(seeds, "-")
 	from, err := strconv.ParseUint(first, 10, 64)
