Found a group again when its voters are lost, whatever control has seen

Cause: control replaces the members whose restart it sees, and then counts the empty successors as kept. If a look falls between the restarts, no look sees the majority lost.

Ruled out: the new members do not start (with all restarts seen at once the group works).

Change: members that were replaced stay in the resource until the present ones are known to be the voters. Meanwhile control asks their nodes; the group is lost if no replica can get the votes that it needs by the voters and logs that they tell, in two looks with the same answers. Found by the property test: a node taken for dead by mistake got a new replica, which ended the one whose vote still counted; such nodes get none now.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -280,6 +280,7 @@
 	Leader     ReplicaID // 0: unknown
 	Commit     uint64
 	Last       uint64 // last index in the log
+	LastTerm   uint64 // term of the last entry
 	Snapshot   uint64 // index of the snapshot
 	Membership Membership
 	// MembershipCommitted reports whether the last membership change is committed.
@@ -296,7 +297,7 @@
 	ms, index := c.log.membership()
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.hardState.Term, Leader: c.leader,
-		Commit: c.log.commit, Last: c.log.lastIndex(), Snapshot: c.log.snapshot.Index,
+		Commit: c.log.commit, Last: c.log.lastIndex(), LastTerm: c.log.lastTerm(), Snapshot: c.log.snapshot.Index,
 		Membership: ms, MembershipCommitted: index <= c.log.commit,
 	}
 	if c.role == Leader {
--- a/controld/fleet.go
+++ b/controld/fleet.go
@@ -89,7 +89,7 @@
 	if !p.Settings.IdempotencyGroups {
 		return
 	}
-	pl := &placer{id: p.Settings.NodeID, machine: p.Machine, replicator: r, nodes: f.nodes, log: p.Log}
+	pl := &placer{id: p.Settings.NodeID, machine: p.Machine, replicator: r, nodes: f.nodes, log: p.Log, askStatus: f.askStatus}
 	pl.run(ctx)
 }
 
--- a/controld/placement.go
+++ b/controld/placement.go
@@ -13,6 +13,7 @@
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/placement"
 	"github.com/godwithub/godwithub/resource"
+	"github.com/godwithub/godwithub/wire"
 )
 
 const (
@@ -34,10 +35,23 @@
 	replicator control.Replicator
 	nodes      func() []fleet.Node
 	log        *slog.Logger
+	// askStatus asks a node for its replica of a group.
+	askStatus func(ctx context.Context, n *fleet.Node, q wire.GroupStatusRequest) (wire.GroupStatus, error)
+	// settled holds the generations of groups whose members are known to be the voters, by name.
+	settled map[string]uint64
+	// lost holds what the last look knew of groups that seemed lost, by name.
+	lost map[string]lostGroup
+}
+
+// lostGroup is a group that seemed lost in one look. It is lost if the next look finds the same.
+type lostGroup struct {
+	generation uint64
+	holders    []uint64 // see placement.Standing
 }
 
 func (p *placer) run(ctx context.Context) {
 	p.log = logging.Part(p.log, "placement")
+	p.settled = map[string]uint64{}
 	tick := time.NewTicker(placementInterval)
 	defer tick.Stop()
 	var leadsSince time.Time
@@ -77,7 +91,8 @@
 		g := o.(*resource.Group)
 		groups[g.Name] = g
 	}
-	plan := placement.Plan(groups, p.nodes())
+	nodes := p.nodes()
+	plan := placement.Plan(groups, nodes, p.standings(ctx, groups, nodes))
 	if len(plan) == 0 {
 		if len(groups) == 0 {
 			return nil
--- a/node/groups.go
+++ b/node/groups.go
@@ -55,6 +55,7 @@
 	g.caller.Local = g.host
 	n.mux.Handle(wire.FrameConsensus, g.transport.Handle)
 	n.mux.Handle(wire.FrameGroupCall, g.host.Handle)
+	n.mux.Handle(wire.FrameGroupStatus, g.host.HandleStatus)
 }
 
 func (g *groups) stop() {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,13 +26,17 @@
 	nodesPerGroup = 10
 	// maxGroupsPerRegion bounds the number of groups of a region.
 	maxGroupsPerRegion = 64
+	// maxReplaced bounds the members that are replaced while it is not known whether the group has taken up the
+	// last replacements. A group that has not by then waits for its nodes.
+	maxReplaced = 32
 )
 
 // Plan returns the groups to write: new groups, and those whose members have to change.
-// members is the membership without control VMs. Groups of regions without nodes are
-// not changed.
-func Plan(groups map[string]*resource.Group, members []fleet.Node) []*resource.Group {
+// members is the membership without control VMs. standings holds what is known of groups whose members were replaced,
+// by name. Groups of regions without nodes are not changed.
+func Plan(groups map[string]*resource.Group, members []fleet.Node, standings map[string]Standing) []*resource.Group {
 	p := newPlanner(groups, members)
+	p.standings = standings
 	var out []*resource.Group
 	for _, name := range slices.Sorted(maps.Keys(groups)) {
 		if g := p.repair(groups[name]); g != nil {
@@ -50,6 +54,8 @@
 	nodes   map[string]fleet.Node   // alive or suspect nodes, by ID
 	regions map[string][]fleet.Node // alive nodes, by region
 	load    map[string]int          // number of replicas, by node ID
+
+	standings map[string]Standing
 }
 
 func newPlanner(groups map[string]*resource.Group, members []fleet.Node) *planner {
@@ -100,20 +106,35 @@
 		}
 	}
 	size := p.replicasPerGroup()
-	if restarted > len(g.Members)/2 {
-		// A majority of the replicas is known to have lost its state, so this epoch can
+	standing := p.standings[g.Name]
+	replaced := g.Replaced
+	if standing.Settled {
+		replaced = nil
+	}
+	if standing.Lost || len(replaced) == 0 && restarted > len(g.Members)/2 {
+		// A majority of the voters is known to have lost its state, so this epoch can
 		// never have a quorum again. A group whose members are merely unreachable is not
-		// replaced: it may be working on the other side of a partition.
+		// replaced: it may be working on the other side of a partition. While members are
+		// being replaced, only their nodes can tell who votes.
 		return p.recreate(g)
 	}
 	if len(kept) == len(g.Members) && len(kept) >= size {
 		return nil
 	}
 	next := g.Clone().(*resource.Group)
-	next.Members = p.addMembers(g.HomeRegion, kept, size, nextReplica(g), true)
+	next.Members = p.addMembers(g.HomeRegion, kept, size, nextReplica(g), true, p.holdersOf(g, replaced))
 	if slices.Equal(next.Members, g.Members) || !p.isSafeChange(g, kept, next) {
 		return nil
 	}
+	next.Replaced = slices.Clone(replaced)
+	for _, m := range g.Members {
+		if !slices.Contains(next.Members, m) {
+			next.Replaced = append(next.Replaced, m)
+		}
+	}
+	if len(next.Replaced) > maxReplaced {
+		return nil
+	}
 	p.addLoad(g, -1)
 	p.addLoad(next, +1)
 	return next
@@ -131,8 +152,9 @@
 	next := g.Clone().(*resource.Group)
 	p.addLoad(g, -1)
 	next.Epoch++
-	next.Members = p.addMembers(g.HomeRegion, nil, p.replicasPerGroup(), nextReplica(g), false)
+	next.Members = p.addMembers(g.HomeRegion, nil, p.replicasPerGroup(), nextReplica(g), false, nil)
 	next.Founders = replicaNumbers(next.Members)
+	next.Replaced = nil
 	if len(next.Members) == 0 {
 		return nil
 	}
@@ -156,7 +178,7 @@
 			continue
 		}
 		g := &resource.Group{Meta: resource.Meta{Name: name}, HomeRegion: region, Epoch: 1}
-		g.Members = p.addMembers(region, nil, p.replicasPerGroup(), 1, false)
+		g.Members = p.addMembers(region, nil, p.replicasPerGroup(), 1, false, nil)
 		g.Founders = replicaNumbers(g.Members)
 		p.addLoad(g, +1)
 		out = append(out, g)
@@ -182,12 +204,24 @@
 	}
 }
 
+// holdersOf returns the nodes that may still run a replica which was replaced. A new replica there would end it, while
+// its vote may still count.
+func (p *planner) holdersOf(g *resource.Group, replaced []resource.GroupMember) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range slices.Concat(g.Members, replaced) {
+		if n, ok := p.nodes[m.Node]; !ok || !p.restartedSinceAssigned(m, n) {
+			out[m.Node] = true
+		}
+	}
+	return out
+}
+
 // addMembers returns kept with members added until there are size of them or no node is
-// left. replica is the number of the first added one.
-func (p *planner) addMembers(home string, kept []resource.GroupMember, size int, replica uint64, joining bool) []resource.GroupMember {
+// left. replica is the number of the first added one, and no member is added on the excluded nodes.
+func (p *planner) addMembers(home string, kept []resource.GroupMember, size int, replica uint64, joining bool, excluded map[string]bool) []resource.GroupMember {
 	out := slices.Clone(kept)
 	for len(out) < size {
-		n, ok := p.bestNode(home, out, size)
+		n, ok := p.bestNode(home, out, size, excluded)
 		if !ok {
 			break
 		}
@@ -200,7 +234,7 @@
 // bestNode returns the best node for the next member of a group: members are spread over
 // the failure domains, with remoteReplicas of them outside the home region, and go to the
 // nodes with the fewest replicas.
-func (p *planner) bestNode(home string, members []resource.GroupMember, size int) (fleet.Node, bool) {
+func (p *planner) bestNode(home string, members []resource.GroupMember, size int, excluded map[string]bool) (fleet.Node, bool) {
 	used := map[string]bool{}
 	inDomain := map[string]int{}
 	remote := 0
@@ -217,7 +251,7 @@
 	found := false
 	for _, region := range slices.Sorted(maps.Keys(p.regions)) {
 		for _, n := range p.regions[region] {
-			if used[string(n.ID)] {
+			if used[string(n.ID)] || excluded[string(n.ID)] {
 				continue
 			}
 			if !found || p.compareNodes(n, best, home, wantRemote, inDomain) < 0 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -33,7 +33,7 @@
 	for name, g := range groups {
 		out[name] = g
 	}
-	for _, g := range Plan(groups, nodes) {
+	for _, g := range Plan(groups, nodes, nil) {
 		assert.Equal(t, len(resource.Validate(g)), 0)
 		out[g.Name] = g
 	}
@@ -71,7 +71,7 @@
 			assert.Assert(t, n <= 2, "failure domain %s holds %d replicas", d, n)
 		}
 	}
-	assert.Equal(t, len(Plan(groups, members(10))), 0, "a second plan must change nothing")
+	assert.Equal(t, len(Plan(groups, members(10), nil)), 0, "a second plan must change nothing")
 }
 
 // Guards against a replica that votes after its node has lost the replica's state.
--- a/resource/object.go
+++ b/resource/object.go
@@ -330,6 +330,9 @@
 	Founders []uint64 `json:"founders,omitempty" validate:"max=5"`
 	// Members are the replicas that bootstrap the group or join it. At most 5 vote.
 	Members []GroupMember `json:"members" validate:"max=7,dive"`
+	// Replaced are the members of this epoch that others have replaced since control last knew that Members are the
+	// voters. They may still vote.
+	Replaced []GroupMember `json:"replaced,omitempty" validate:"max=64,dive"`
 }
 
 // GroupMember is one replica of a group.
@@ -352,7 +355,7 @@
 func (g *Group) Clone() Object {
 	c := *g
 	c.Founders = slices.Clone(g.Founders)
-	c.Members = slices.Clone(g.Members)
+	c.Members, c.Replaced = slices.Clone(g.Members), slices.Clone(g.Replaced)
 	return &c
 }
 
