--- a/cmd/godwithub-control/main.go
+++ b/cmd/godwithub-control/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/godwithub/godwithub/controld"
+	"github.com/godwithub/godwithub/internal/shutdown"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/settings"
 	"github.com/godwithub/godwithub/version"
@@ -41,6 +42,7 @@
 		return err
 	}
 	defer flush()
+	defer shutdown.LogSignals(log)()
 	fleet, options := controld.NewFleet()
 	options.Replicate = controld.Replicate
 	defer fleet.Close()
--- a/cmd/godwithub-node/main.go
+++ b/cmd/godwithub-node/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/ingress"
+	"github.com/godwithub/godwithub/internal/shutdown"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/node"
 	"github.com/godwithub/godwithub/settings"
@@ -55,6 +56,7 @@
 		return err
 	}
 	defer flush()
+	defer shutdown.LogSignals(log)()
 	n, err := node.New(set, log, options(set))
 	if err != nil {
 		return err
--- a/cmd/godwithub-platform/main.go
+++ b/cmd/godwithub-platform/main.go
@@ -15,6 +15,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/godwithub/godwithub/controld"
+	"github.com/godwithub/godwithub/internal/shutdown"
 	"github.com/godwithub/godwithub/logging"
 	"github.com/godwithub/godwithub/node"
 	"github.com/godwithub/godwithub/platform"
@@ -93,6 +94,7 @@
 		return err
 	}
 	defer flush()
+	defer shutdown.LogSignals(log)()
 	go watchSettings(ctx, p, reload, logging.Part(log, "settings"))
 	d, err := l.start(log)
 	if err != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -103,8 +103,8 @@
 	mu        sync.RWMutex
 	upstreams map[fleet.UpstreamID]*upstream
 	leaving   bool
-	// stopAt is when the node ends at the latest, once it has begun to leave. Zero: it has not.
-	stopAt time.Time
+	// leavingSince is when the node has begun to leave, and stopAt when it ends at the latest. Zero: it does not leave.
+	leavingSince, stopAt time.Time
 	// ranks holds the shares of the ranks in ranksConfig, the last configuration that was applied.
 	ranks       []rankShare
 	ranksConfig *resource.Config
@@ -193,7 +193,7 @@
 func (d *Dispatcher) BeginLeave(stopAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stopAt = stopAt
+	d.leavingSince, d.stopAt = time.Now(), stopAt
 }
 
 // outlivesStop reports whether a run of a kind that begins now would probably not end before the node does.
@@ -213,10 +213,25 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
+		d.logCutAttempts()
 		return ctx.Err()
 	}
 }
 
+// logCutAttempts logs the requests that are still running when the time for a stop is over.
+func (d *Dispatcher) logCutAttempts() {
+	d.mu.RLock()
+	leavingSince := d.leavingSince
+	d.mu.RUnlock()
+	now := time.Now()
+	d.running.mu.RLock()
+	defer d.running.mu.RUnlock()
+	for id, r := range d.running.runs {
+		d.log.Warn("running attempt is cut by the stop of the node", "request", id, "service", r.Service, "kind", r.Kind,
+			"running_ms", now.Sub(r.began).Milliseconds(), "leaving_ms", now.Sub(leavingSince).Milliseconds(), "left_ms", r.deadline.Sub(now).Milliseconds())
+	}
+}
+
 // lookUp returns the upstream of an attempt, or nil if no such upstream is registered here.
 func (d *Dispatcher) lookUp(id fleet.UpstreamID) (u *upstream, leaving bool) {
 	d.refreshRanks()
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -73,6 +73,7 @@
 func (a *attempt) run(ctx context.Context) (outcome.Ended, *wire.AnswerEnd) {
 	began := time.Now()
 	defer a.resetFailedStreams()
+	var faults []error // of the routes
 	for _, r := range a.routes() {
 		end, err := a.tryRoute(ctx, r)
 		if err == nil {
@@ -91,6 +92,7 @@
 			a.in.log.Error("malformed answer from a dispatcher", "request", a.rq.id, "node", a.upstream.Node, "upstream", a.upstream.ID, "fault", err)
 			return outcome.MayHaveRun(outcome.ReasonLostUpstream), &wire.AnswerEnd{ServedMs: time.Since(began).Milliseconds()}
 		}
+		faults = append(faults, err)
 		a.in.log.Debug("route to dispatcher failed", "request", a.rq.id, "node", a.upstream.Node, "route", routeNames[r], "fault", err)
 		if a.answer.begun {
 			return outcome.MayHaveRun(outcome.ReasonShortAnswer), nil
@@ -118,6 +120,8 @@
 	if !a.mayRun {
 		return outcome.HasNotRun(outcome.ReasonPathDown), nil
 	}
+	a.in.log.Info("dispatcher lost", "request", a.rq.id, "node", a.upstream.Node, "upstream", a.upstream.ID, "acknowledged", a.acked,
+		"ms", time.Since(began).Milliseconds(), "node_leaving", !a.upstream.LeavingSince.IsZero(), "faults", errors.Join(faults...))
 	return outcome.MayHaveRun(outcome.ReasonLostDispatcher), nil
 }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -339,7 +339,7 @@
 	h.in.log.Info("request ended",
 		"request", h.rq.id, "service", h.rq.service.Name, "kind", h.rq.kind.Name, "rank", h.rq.level, "customer", h.rq.customerName(), "parent", h.rq.parentKind(),
 		"status", status, "outcome", e.Outcome.String(), "reason", string(e.Reason),
-		"ms", time.Since(h.rq.began).Milliseconds(), "left_ms", time.Until(h.rq.deadline).Milliseconds(),
+		"ms", time.Since(h.rq.began).Milliseconds(), "left_ms", time.Until(h.rq.deadline).Milliseconds(), "interrupted", h.in.interruptCtx.Err() != nil,
 		"config", h.view.Config.Version.String(), "attempts", formatAttempts(h.trace))
 }
 
