--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/keys"
+	"github.com/godwithub/godwithub/resource"
 )
 
 func dial(t *testing.T, addr string) net.Conn {
@@ -131,3 +132,57 @@
 	assert.NilError(t, err)
 	return resp.StatusCode
 }
+
+// Guards against a planned stop that cuts off a request which the stopping node took from another node although
+// it could outlast the stop.
+func TestStopCutsNoRequestOfOthersThatRunsLong(t *testing.T) {
+	keyDir := t.TempDir()
+	assert.NilError(t, keys.Init(keyDir))
+	m := &fakeMembership{nodes: map[fleet.NodeID]fleet.Node{}, config: testSet()}
+	for o := range m.config.All {
+		if k, ok := o.(*resource.RequestKind); ok {
+			k.DeadlineMs = 10_000
+		}
+	}
+	lameDuck := func(s *Settings) { s.LameDuck, s.DrainTimeout = time.Second, time.Second }
+	a, _ := startNodeWith(t, m, keyDir, "a", "tls", lameDuck)
+	b, stop := startNodeWith(t, m, keyDir, "b", "tls", lameDuck)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	begun := make(chan struct{}, 1)
+	upstream := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Long") != "" {
+			begun <- struct{}{}
+			<-r.Context().Done()
+		}
+	})}
+	go upstream.Serve(ln)
+	defer upstream.Close()
+	announceUpstream(t, b, "u1", ln.Addr().String(), false)
+	waitForUpstreams(t, a, 1)
+	for range 20 {
+		resp, err := http.Post("http://"+a.settings.CallerAddr+"/orders", "text/plain", strings.NewReader("lotus"))
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	go stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if u := a.board.View().Upstreams["shop"]; len(u) > 0 && !u[0].LeavingSince.IsZero() {
+			return poll.Success()
+		}
+		return poll.Continue("a does not know that b is leaving")
+	}, poll.WithDelay(time.Millisecond))
+	req, err := http.NewRequest("POST", "http://"+a.settings.CallerAddr+"/orders", strings.NewReader("lotus"))
+	assert.NilError(t, err)
+	req.Header.Set("Long", "yes")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	select {
+	case <-begun:
+		t.Errorf("the upstream was at work on a request that was answered with status %d, %s", resp.StatusCode, resp.Header.Get("Godwithub-Outcome"))
+	default:
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	}
+}
