--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"context"
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
@@ -188,50 +187,6 @@
 	d.log.Info("upstream left", "upstream", u.id)
 }
 
-// BeginLeave declines attempts from now on that would probably still run at stopAt, when the node ends. Other attempts
-// run: a stop takes seconds, in which the upstreams of this VM would otherwise have no work.
-func (d *Dispatcher) BeginLeave(stopAt time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.leavingSince, d.stopAt = time.Now(), stopAt
-}
-
-// outlivesStop reports whether a run of a kind that begins now would probably not end before the node does.
-// d.mu is held.
-func (d *Dispatcher) outlivesStop(now time.Time, kind string) bool {
-	return !d.stopAt.IsZero() && now.Add(d.kinds.longest(kind)).After(d.stopAt)
-}
-
-// Leave refuses new attempts from now on and waits until the active ones have ended or ctx is done.
-func (d *Dispatcher) Leave(ctx context.Context) error {
-	d.mu.Lock()
-	d.leaving = true
-	d.mu.Unlock()
-	done := make(chan struct{})
-	go func() { d.active.Wait(); close(done) }()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		d.logCutAttempts()
-		return ctx.Err()
-	}
-}
-
-// logCutAttempts logs the requests that are still running when the time for a stop is over.
-func (d *Dispatcher) logCutAttempts() {
-	d.mu.RLock()
-	leavingSince := d.leavingSince
-	d.mu.RUnlock()
-	now := time.Now()
-	d.running.mu.RLock()
-	defer d.running.mu.RUnlock()
-	for id, r := range d.running.runs {
-		d.log.Warn("running attempt is cut by the stop of the node", "request", id, "service", r.Service, "kind", r.Kind,
-			"running_ms", now.Sub(r.began).Milliseconds(), "leaving_ms", now.Sub(leavingSince).Milliseconds(), "left_ms", r.deadline.Sub(now).Milliseconds())
-	}
-}
-
 // lookUp returns the upstream of an attempt, or nil if no such upstream is registered here.
 func (d *Dispatcher) lookUp(id fleet.UpstreamID) (u *upstream, leaving bool) {
 	d.refreshRanks()
--- a/dispatch/gray.go
+++ b/dispatch/gray.go
@@ -40,12 +40,12 @@
 // decline reports whether to decline an attempt that could be served elsewhere, and why: the
 // upstream is gone or draining, is failing, has no free slot, or already gets as many requests as it
 // accepts. It needs only the head, so the body of a declined attempt need not be sent.
-func (d *Dispatcher) decline(head *wire.AttemptHead) (wire.AnswerEnd, bool) {
+func (d *Dispatcher) decline(head *wire.AttemptHead, deadline time.Time) (wire.AnswerEnd, bool) {
 	d.mu.RLock()
-	u, leaving := d.upstreams[fleet.UpstreamID(head.Upstream)], d.leaving || d.outlivesStop(time.Now(), head.Kind)
+	u, leaving := d.upstreams[fleet.UpstreamID(head.Upstream)], d.leaving
 	d.mu.RUnlock()
 	switch {
-	case leaving:
+	case leaving, d.outlivesStop(head, deadline):
 		return newAnswerEnd(nil, outcome.HasNotRun(outcome.ReasonDraining)), true
 	case u == nil:
 		return newAnswerEnd(nil, outcome.HasNotRun(outcome.ReasonUpstreamGone)), true
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -62,7 +62,8 @@
 		c.abandon()
 		return newAnswerEnd(u, outcome.HasNotRun(outcome.ReasonCanceled))
 	}
-	if !u.start(ticket, head.Fingerprint) {
+	// An attempt that came before the stop began may have waited until now.
+	if deadline, _ := a.ctx.Deadline(); d.outlivesStop(head, deadline) || !u.start(ticket, head.Fingerprint) {
 		u.release(ticket, 0)
 		c.abandon()
 		return newAnswerEnd(u, outcome.HasNotRun(outcome.ReasonDraining))
--- a/dispatch/serve.go
+++ b/dispatch/serve.go
@@ -28,7 +28,7 @@
 	ack := wire.Ack{Incarnation: d.incarnation}
 	var end wire.AnswerEnd
 	if !otherIncarnation && !d.attempts.knows(head.AttemptID) {
-		end, ack.Declined = d.decline(head)
+		end, ack.Declined = d.decline(head, deadline)
 	}
 	if err := wire.Write(s, wire.FrameAck, ack); err != nil {
 		s.Reset()
--- /dev/null
+++ b/dispatch/stop_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/internal/testwait"
+	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/wire"
+)
+
+// Guards against a leaving node that takes a request which its end would cut off for good.
+func TestStopCheck(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	for name, c := range map[string]struct {
+		check StopCheck
+		want  bool
+	}{
+		"not idempotent, usually short":        {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second}, false},
+		"not idempotent, ends at its deadline": {StopCheck{StopAt: at(5), Deadline: at(5), Longest: 9 * time.Second}, true},
+		"idempotent, short":                    {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second, Idempotent: true}, true},
+		"idempotent, long":                     {StopCheck{StopAt: at(5), Deadline: at(20), Longest: 6 * time.Second, Idempotent: true}, false},
+		"idempotent, no time for another run":  {StopCheck{StopAt: at(5), Deadline: at(5.9), Longest: time.Second, Idempotent: true}, false},
+		"idempotent, length not known":         {StopCheck{StopAt: at(5), Deadline: at(20), Idempotent: true}, false},
+		"same node, short":                     {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second, SameNode: true}, true},
+		"same node, long":                      {StopCheck{StopAt: at(5), Deadline: at(6), Longest: 6 * time.Second, SameNode: true}, false},
+	} {
+		assert.Equal(t, c.check.Allows(now), c.want, name)
+	}
+}
+
+// idempotentHead returns the head of an idempotent attempt without a body.
+func idempotentHead(id, kind string) *wire.AttemptHead {
+	head := orderHead(id)
+	head.Kind, head.Target, head.Idempotent = kind, "/"+kind, true
+	return head
+}
+
+// attempt sends the head and the end of a request, and returns how the attempt ended.
+func (f *fixture) attempt(t *testing.T, head *wire.AttemptHead) outcome.Ended {
+	_, end := finish(t, begin(t, f, head))
+	return outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}
+}
+
+// Guards against upstreams without work while their node stops, and against requests that are cut off by its end.
+func TestLeavingDispatcherTakesShortAttempts(t *testing.T) {
+	f := newFixture(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	answered, draining := outcome.Ended{Outcome: outcome.Answered}, outcome.HasNotRun(outcome.ReasonDraining)
+	assert.Equal(t, f.attempt(t, idempotentHead("a", "long")), answered)
+	assert.Equal(t, f.attempt(t, idempotentHead("b", "short")), answered)
+	f.BeginLeave(time.Now().Add(80 * time.Millisecond))
+	assert.Equal(t, f.attempt(t, idempotentHead("c", "long")), draining)
+	assert.Equal(t, f.attempt(t, idempotentHead("d", "short")), answered)
+	f.BeginLeave(time.Now())
+	assert.Equal(t, f.attempt(t, idempotentHead("e", "short")), draining)
+}
+
+// Guards against a leaving node that takes a request which must not run twice, since runs of its kind are usually
+// short, and cuts it off when it is not.
+func TestLeavingDispatcherTakesNothingThatCouldBeLost(t *testing.T) {
+	f := newFixture(t, nil, func(http.ResponseWriter, *http.Request) {})
+	answered := outcome.Ended{Outcome: outcome.Answered}
+	assert.Equal(t, f.attempt(t, orderHead("a")), answered)
+	f.BeginLeave(time.Now().Add(4 * time.Second))
+	assert.Equal(t, f.attempt(t, orderHead("b")), outcome.HasNotRun(outcome.ReasonDraining))
+	short := orderHead("c")
+	short.RemainingMs = 3000
+	assert.Equal(t, f.attempt(t, short), answered)
+}
+
+// Guards against an attempt that waits for a slot when the stop begins, and is begun so late that it is cut off.
+func TestWaitingAttemptIsNotBegunShortlyBeforeTheStop(t *testing.T) {
+	free := make(chan struct{})
+	f := newFixture(t, nil, func(http.ResponseWriter, *http.Request) { <-free })
+	running, waiting := begin(t, f, orderHead("a")), begin(t, f, orderHead("b"))
+	assert.NilError(t, running.WriteFrame(wire.FrameEnd, nil))
+	testwait.Until(t, 5*time.Second, "the first attempt is at its upstream", func() bool { return f.runs.Load() == 1 })
+	assert.NilError(t, waiting.WriteFrame(wire.FrameEnd, nil))
+	testwait.Until(t, 5*time.Second, "the second attempt waits", func() bool { return f.upstreamStatuses()[0].Queued == 1 })
+	f.BeginLeave(time.Now().Add(4 * time.Second))
+	close(free)
+	_, end := readAnswer(t, running)
+	assert.Equal(t, end.Outcome, outcome.Answered)
+	_, end = readAnswer(t, waiting)
+	assert.Equal(t, outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}, outcome.HasNotRun(outcome.ReasonDraining))
+	assert.Equal(t, f.runs.Load(), int64(1))
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -253,7 +253,7 @@
 			Suspect:       u.Suspect || load.suspect || in.paths.hasFailed(u.Node),
 			Ejected:       u.Ejected,
 			Trial:         u.Trial,
-			Draining:      u.State == fleet.UpstreamDraining || load.leaving || !in.endsBeforeStop(v, u, rq.kind.Name, now),
+			Draining:      u.State == fleet.UpstreamDraining || load.leaving || !in.endsBeforeStop(v, u, rq, now),
 			Weight:        warmWeight(u, now) * load.capacityShare,
 			RateLimited:   load.rateLimited,
 		}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -280,7 +280,7 @@
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
 	a.head.Notice = h.in.loads.notice(u.ID)
-	a.head.RetryGranted = h.retryGranted
+	a.head.RetryGranted, a.head.SameNode = h.retryGranted, u.Node == h.view.Self.ID
 	a.head.Repeat, a.head.RepeatedCalls = h.arrived, h.in.retriesOf(h.rq.service.Name).takeRepeatedCalls()
 	a.head.Insist, a.head.MayHaveRun, a.head.LastRun = h.insists(), h.runs > 0, h.lastRun(now)
 	entry := h.in.loads.entry(u.ID)
--- a/ingress/work.go
+++ b/ingress/work.go
@@ -6,6 +6,7 @@
 
 	"github.com/godwithub/godwithub/board"
 	"github.com/godwithub/godwithub/capacity"
+	"github.com/godwithub/godwithub/dispatch"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -54,18 +55,22 @@
 	return w.Longest(), true
 }
 
-// endsBeforeStop reports whether a request of a kind that is sent to u now will probably end before u's node
-// stops, if that node is leaving. The estimate may be wrong: the dispatcher of that node knows when it stops
-// and declines requests that would run longer.
-func (in *Ingress) endsBeforeStop(v *board.View, u *board.Upstream, kind string, now time.Time) bool {
+// endsBeforeStop reports whether a request that is sent to u now will end before u's node stops, or can run once more
+// elsewhere, if that node is leaving. The dispatcher of that node knows when it stops and declines what it may not take.
+func (in *Ingress) endsBeforeStop(v *board.View, u *board.Upstream, rq *request, now time.Time) bool {
 	if u.LeavingSince.IsZero() {
 		return true
 	}
-	longest, known := in.work.longest(kind)
+	sameNode := u.Node == v.Self.ID
+	longest, known := in.work.longest(rq.kind.Name)
 	if in.cfg.StopTime == 0 || !known {
 		// Without an estimate, other nodes send nothing to a leaving node. If this node itself is leaving, it
 		// accepts requests of callers only during its lame-duck time, and its own upstreams still run those.
-		return u.Node == v.Self.ID
+		return sameNode
 	}
-	return now.Add(longest + leavingMargin).Before(u.LeavingSince.Add(in.cfg.StopTime))
+	c := dispatch.StopCheck{
+		StopAt:   u.LeavingSince.Add(in.cfg.StopTime - leavingMargin),
+		Deadline: rq.deadline, Longest: longest, Idempotent: rq.kind.Idempotent, SameNode: sameNode,
+	}
+	return c.Allows(now)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -135,6 +135,8 @@
 	// RetryGranted says that the dispatcher of an earlier attempt has counted this repeat in its retry budget; see
 	// AnswerEnd.RetryGranted.
 	RetryGranted bool `cbor:"28,keyasint,omitempty"`
+	// SameNode says that the request came in at the node of the dispatcher.
+	SameNode bool `cbor:"29,keyasint,omitempty"`
 }
 
 // Parent is a run that makes calls, as of when a call of it is sent.
