--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -27,7 +27,9 @@
 	key        idempotency.Key
 	attemptID  idempotency.AttemptID
 	reply      chan claimReply
-	once       sync.Once
+	// granted is set by wait. Only the goroutine that runs the attempt may access it once wait was called.
+	granted bool
+	once    sync.Once
 }
 
 // claimReply is the reply of the idempotency group to a claim.
@@ -87,6 +89,7 @@
 		c.release()
 		return nil, outcome.HasNotRun(outcome.ReasonClaimFailed), false
 	case r.Status == idempotency.StatusGranted:
+		c.granted = true
 		return nil, outcome.Ended{}, true
 	case r.Status == idempotency.StatusFinished && r.Ended().Outcome == outcome.Answered:
 		return r.Record, r.Ended(), false
@@ -101,6 +104,10 @@
 		return
 	}
 	c.once.Do(func() {
+		if c.granted {
+			c.release()
+			return
+		}
 		go func() {
 			reply := <-c.reply
 			if reply.err != nil || reply.result.Status == idempotency.StatusGranted {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,13 +81,16 @@
 func TestWaitingAttemptIsNotBegunShortlyBeforeTheStop(t *testing.T) {
 	free := make(chan struct{})
 	f := newFixture(t, nil, func(http.ResponseWriter, *http.Request) { <-free })
+	var once sync.Once
+	finishRun := func() { once.Do(func() { close(free) }) }
+	t.Cleanup(finishRun)
 	running, waiting := begin(t, f, orderHead("a")), begin(t, f, orderHead("b"))
 	assert.NilError(t, running.WriteFrame(wire.FrameEnd, nil))
 	testwait.Until(t, 5*time.Second, "the first attempt is at its upstream", func() bool { return f.runs.Load() == 1 })
 	assert.NilError(t, waiting.WriteFrame(wire.FrameEnd, nil))
 	testwait.Until(t, 5*time.Second, "the second attempt waits", func() bool { return f.upstreamStatuses()[0].Queued == 1 })
 	f.BeginLeave(time.Now().Add(4 * time.Second))
-	close(free)
+	finishRun()
 	_, end := readAnswer(t, running)
 	assert.Equal(t, end.Outcome, outcome.Answered)
 	_, end = readAnswer(t, waiting)
