--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"context"
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
@@ -104,6 +105,9 @@
 	leaving   bool
 	// leavingSince is when the node has begun to leave, and stopAt when it ends at the latest. Zero: it does not leave.
 	leavingSince, stopAt time.Time
+	// interruptCtx is canceled by Interrupt.
+	interruptCtx context.Context
+	interrupt    context.CancelFunc
 	// ranks holds the shares of the ranks in ranksConfig, the last configuration that was applied.
 	ranks       []rankShare
 	ranksConfig *resource.Config
@@ -132,7 +136,9 @@
 	if cfg.Protocol.Refusal == nil {
 		cfg.Protocol = OwnProtocol()
 	}
+	interruptCtx, interrupt := context.WithCancel(context.Background())
 	return &Dispatcher{
+		interruptCtx: interruptCtx, interrupt: interrupt,
 		cfg:         cfg,
 		log:         cfg.Log,
 		attempts:    newRegistry(),
--- a/dispatch/retries.go
+++ b/dispatch/retries.go
@@ -37,7 +37,7 @@
 // would stay unused.
 func (u *upstream) grantRetry(now time.Time, head *wire.AttemptHead, e outcome.Ended, result Result) bool {
 	shed := e == outcome.HasNotRun(outcome.ReasonUpstreamShed)
-	failed := head.Idempotent && (result == ResultError || result == ResultBroken)
+	failed := head.Idempotent && (result == ResultError || result == ResultBroken || e.Reason == outcome.ReasonStopped)
 	if !shed && !failed {
 		return false
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -202,16 +202,10 @@
 
 // exchange sends the request to the upstream and writes its answer to w.
 func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body *requestBody, w *answerWriter) (outcome.Ended, Result) {
-	ctx := a.ctx
-	if !head.Idempotent {
-		// A request that must not run twice is not canceled when its caller disconnects: its outcome
-		// would stay unknown.
-		deadline, _ := ctx.Deadline()
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.Background(), deadline)
-		defer cancel()
-	}
+	ctx, headReceived, release := d.exchangeContext(a, head)
+	defer release()
 	resp, err := d.roundTrip(ctx, u, head, body)
+	headReceived()
 	if err != nil {
 		return classify(ctx, err, !errors.Is(err, httpconn.ErrNotSent))
 	}
@@ -317,7 +311,12 @@
 func classify(ctx context.Context, err error, sent bool) (outcome.Ended, Result) {
 	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	canceled := errors.Is(ctx.Err(), context.Canceled)
+	interrupted := errors.Is(context.Cause(ctx), errInterrupted)
 	switch {
+	case interrupted && !sent:
+		return outcome.HasNotRun(outcome.ReasonDraining), ResultRefused
+	case interrupted:
+		return outcome.MayHaveRun(outcome.ReasonStopped), ResultRefused
 	case !sent && timedOut:
 		return outcome.HasNotRun(outcome.ReasonDeadline), ResultRefused
 	case !sent && canceled:
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -12,8 +14,9 @@
 	// StopAt is when the node ends at the latest, and Deadline when the request does.
 	StopAt, Deadline time.Time
 	// Longest is a time within which nearly all runs of the request's kind end; 0: not known.
-	Longest    time.Duration
-	Idempotent bool
+	Longest time.Duration
+	// Repeatable says that the request may run once more if this run is lost.
+	Repeatable bool
 	// SameNode says that the request came in at this node, whose end ends it wherever it runs.
 	SameNode bool
 }
@@ -28,7 +31,7 @@
 		return endsInTime
 	case !c.Deadline.After(c.StopAt):
 		return true
-	case !c.Idempotent, c.Longest == 0:
+	case !c.Repeatable, c.Longest == 0:
 		return false
 	}
 	return endsInTime && !c.StopAt.Add(c.Longest).After(c.Deadline)
@@ -50,10 +53,48 @@
 	if stopAt.IsZero() {
 		return false
 	}
-	c := StopCheck{StopAt: stopAt, Deadline: deadline, Longest: d.kinds.longest(head.Kind), Idempotent: head.Idempotent, SameNode: head.SameNode}
+	c := StopCheck{StopAt: stopAt, Deadline: deadline, Longest: d.kinds.longest(head.Kind), Repeatable: repeatable(head), SameNode: head.SameNode}
 	return !c.Allows(time.Now())
 }
 
+// errInterrupted is the cause of a context that Interrupt has ended.
+var errInterrupted = errors.New("dispatch: interrupted by the stop of the node")
+
+// Interrupt refuses the attempts that wait for a slot, and ends those that may run again and whose upstream has not
+// begun to answer, so that their ingresses can still send them elsewhere. It is called shortly before the process ends.
+// The others run on until then.
+func (d *Dispatcher) Interrupt() {
+	d.interrupt()
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, u := range d.upstreams {
+		u.mu.Lock()
+		u.refuseQueue(outcome.ReasonDraining)
+		u.mu.Unlock()
+	}
+}
+
+// exchangeContext returns the context of an exchange with an upstream, and the function that releases it. Until
+// headReceived is called, Interrupt ends the context of a request that may run again.
+func (d *Dispatcher) exchangeContext(a *attempt, head *wire.AttemptHead) (ctx context.Context, headReceived func() bool, release func()) {
+	if !head.Idempotent {
+		// A request that must not run twice is not canceled when its caller disconnects: its outcome
+		// would stay unknown.
+		deadline, _ := a.ctx.Deadline()
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		return ctx, func() bool { return true }, cancel
+	}
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	headReceived = func() bool { return true }
+	if repeatable(head) {
+		headReceived = context.AfterFunc(d.interruptCtx, func() { cancel(errInterrupted) })
+	}
+	return ctx, headReceived, func() { headReceived(); cancel(nil) }
+}
+
+// repeatable reports whether the request of an attempt may run once more if this run is lost.
+func repeatable(head *wire.AttemptHead) bool { return head.Idempotent && !head.LastRun }
+
 // Leave refuses new attempts from now on and waits until the active ones have ended or ctx is done.
 func (d *Dispatcher) Leave(ctx context.Context) error {
 	d.mu.Lock()
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/internal/testwait"
+	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/outcome"
 	"github.com/godwithub/godwithub/wire"
 )
@@ -21,12 +22,12 @@
 		check StopCheck
 		want  bool
 	}{
-		"not idempotent, usually short":        {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second}, false},
-		"not idempotent, ends at its deadline": {StopCheck{StopAt: at(5), Deadline: at(5), Longest: 9 * time.Second}, true},
-		"idempotent, short":                    {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second, Idempotent: true}, true},
-		"idempotent, long":                     {StopCheck{StopAt: at(5), Deadline: at(20), Longest: 6 * time.Second, Idempotent: true}, false},
-		"idempotent, no time for another run":  {StopCheck{StopAt: at(5), Deadline: at(5.9), Longest: time.Second, Idempotent: true}, false},
-		"idempotent, length not known":         {StopCheck{StopAt: at(5), Deadline: at(20), Idempotent: true}, false},
+		"not repeatable, usually short":        {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second}, false},
+		"not repeatable, ends at its deadline": {StopCheck{StopAt: at(5), Deadline: at(5), Longest: 9 * time.Second}, true},
+		"repeatable, short":                    {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second, Repeatable: true}, true},
+		"repeatable, long":                     {StopCheck{StopAt: at(5), Deadline: at(20), Longest: 6 * time.Second, Repeatable: true}, false},
+		"repeatable, no time for another run":  {StopCheck{StopAt: at(5), Deadline: at(5.9), Longest: time.Second, Repeatable: true}, false},
+		"repeatable, length not known":         {StopCheck{StopAt: at(5), Deadline: at(20), Repeatable: true}, false},
 		"same node, short":                     {StopCheck{StopAt: at(5), Deadline: at(6), Longest: time.Second, SameNode: true}, true},
 		"same node, long":                      {StopCheck{StopAt: at(5), Deadline: at(6), Longest: 6 * time.Second, SameNode: true}, false},
 	} {
@@ -97,3 +98,38 @@
 	assert.Equal(t, outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}, outcome.HasNotRun(outcome.ReasonDraining))
 	assert.Equal(t, f.runs.Load(), int64(1))
 }
+
+// Guards against an idempotent request that is lost with the node on which it runs, although it could still run
+// elsewhere, and against other requests that are ended before the process is.
+func TestInterruptHandsIdempotentAttemptsBack(t *testing.T) {
+	free := make(chan struct{})
+	f := newFixture(t, nil, func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-free:
+		case <-r.Context().Done():
+		}
+	})
+	var once sync.Once
+	finishRuns := func() { once.Do(func() { close(free) }) }
+	t.Cleanup(finishRuns)
+	f.Withdraw("u")
+	f.announcement.Slots = 3
+	f.Announce(f.announcement)
+	lastRun := idempotentHead("last", "list")
+	lastRun.LastRun = true
+	var streams []link.Stream
+	for _, head := range []*wire.AttemptHead{idempotentHead("first", "list"), lastRun, orderHead("order")} {
+		s := begin(t, f, head)
+		assert.NilError(t, s.WriteFrame(wire.FrameEnd, nil))
+		streams = append(streams, s)
+	}
+	testwait.Until(t, 5*time.Second, "all attempts are at their upstream", func() bool { return f.runs.Load() == 3 })
+	f.Interrupt()
+	_, end := readAnswer(t, streams[0])
+	assert.Equal(t, outcome.Ended{Outcome: end.Outcome, Reason: end.Reason}, outcome.MayHaveRun(outcome.ReasonStopped))
+	finishRuns()
+	for _, s := range streams[1:] {
+		_, end = readAnswer(t, s)
+		assert.Equal(t, end.Outcome, outcome.Answered)
+	}
+}
--- a/ingress/work.go
+++ b/ingress/work.go
@@ -70,7 +70,7 @@
 	}
 	c := dispatch.StopCheck{
 		StopAt:   u.LeavingSince.Add(in.cfg.StopTime - leavingMargin),
-		Deadline: rq.deadline, Longest: longest, Idempotent: rq.kind.Idempotent, SameNode: sameNode,
+		Deadline: rq.deadline, Longest: longest, Repeatable: rq.kind.Idempotent, SameNode: sameNode,
 	}
 	return c.Allows(now)
 }
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -186,3 +187,36 @@
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	}
 }
+
+// Guards against an idempotent request that fails since the node on which it runs stops, although another node could
+// still run it.
+func TestStopHandsIdempotentRequestsBack(t *testing.T) {
+	keyDir := t.TempDir()
+	assert.NilError(t, keys.Init(keyDir))
+	m := &fakeMembership{nodes: map[fleet.NodeID]fleet.Node{}, config: testSet()}
+	a, _ := startNode(t, m, keyDir, "a", "tls")
+	b, stop := startNodeWith(t, m, keyDir, "b", "tls", func(s *Settings) { s.DrainTimeout = time.Second })
+	begun := make(chan struct{}, 1)
+	hanging := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer hanging.Close()
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }))
+	defer other.Close()
+	announceUpstream(t, b, "u1", hanging.Listener.Addr().String(), false)
+	waitForUpstreams(t, a, 1)
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.Get("http://" + a.settings.CallerAddr + "/list")
+		if assert.Check(t, err) {
+			resp.Body.Close()
+			status <- resp.StatusCode
+		}
+	}()
+	<-begun
+	announceUpstream(t, a, "u2", other.Listener.Addr().String(), false)
+	waitForUpstreams(t, a, 2)
+	stop()
+	assert.Equal(t, <-status, http.StatusOK)
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -81,6 +81,7 @@
 const (
 	ReasonLostUpstream   Reason = "lost-upstream"   // the connection to the upstream broke after sending
 	ReasonLostDispatcher Reason = "lost-dispatcher" // the link to the dispatcher broke after it had acknowledged the attempt
+	ReasonStopped        Reason = "stopped"         // the node beside the upstream stopped before the answer
 	ReasonShortAnswer    Reason = "short-answer"    // the answer is shorter than its announced length
 	ReasonLongError      Reason = "long-error"      // a server error whose body is too long or does not end was dropped for another attempt
 	ReasonLateAnswer     Reason = "late-answer"     // no answer by the deadline
