--- a/link/tlslink/tlslink.go
+++ b/link/tlslink/tlslink.go
@@ -102,6 +102,21 @@
 	nc.Close()
 }
 
+// isClosedByPeer reports whether the peer is known to have closed the connection.
+func (c *conn) isClosedByPeer() bool {
+	tcp, ok := c.tcp().(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) { closed = closedByPeer(fd) })
+	return closed || err != nil
+}
+
 func (c *conn) tcp() net.Conn {
 	if tc, ok := c.Conn.(*tls.Conn); ok {
 		return tc.NetConn()
@@ -171,12 +186,7 @@
 		p = &peer{generation: d.lastGeneration}
 		d.peers[addr] = p
 	}
-	if n := len(p.idle); n > 0 {
-		// The most recently used connection is the least likely to have been closed by the other
-		// side. Using it lets the others reach the idle timeout.
-		c := p.idle[n-1].conn
-		p.idle = p.idle[:n-1]
-		d.idle--
+	if c := d.takeIdle(p); c != nil {
 		return c, nil, nil
 	}
 	wait := make(chan dialResult, 1)
@@ -185,6 +195,24 @@
 	return nil, wait, nil
 }
 
+// takeIdle removes an idle connection of p and returns it, or nil if there is none. It drops those that the peer
+// has closed: an exchange over them would fail, and its caller could not tell whether the peer had got it.
+// d.mu must be held.
+func (d *Dialer) takeIdle(p *peer) *conn {
+	for n := len(p.idle); n > 0; n-- {
+		// The most recently used connection is the least likely to have been closed by the other
+		// side. Using it lets the others reach the idle timeout.
+		c := p.idle[n-1].conn
+		p.idle = p.idle[:n-1]
+		d.idle--
+		if !c.isClosedByPeer() {
+			return c
+		}
+		c.closeTCP()
+	}
+	return nil
+}
+
 // startDials starts dials until there is one for each waiter or maxDialing are in progress. d.mu
 // must be held.
 func (d *Dialer) startDials(addr string, p *peer) {
