--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -50,8 +50,8 @@
 	// acked is set once a dispatcher has acknowledged the attempt.
 	acked bool
 	// unackedIncarnation is set when the whole request was sent and no acknowledgement came back.
-	// It is the last known incarnation of the dispatcher at that time, which may have run the
-	// request.
+	// It is the last known incarnation of the dispatcher when the sending began. That one or a later
+	// one may have run the request.
 	unackedIncarnation *uint64
 	// bodyFault is set if the body could not be read from the caller.
 	bodyFault *bodyFault
@@ -237,7 +237,7 @@
 
 // exchange sends the attempt on s and receives the answer.
 func (a *attempt) exchange(s link.Stream, r route) (*wire.AnswerEnd, error) {
-	sent := time.Now()
+	sent, known := time.Now(), a.in.paths.incarnation(a.upstream.Node)
 	if err := a.send(s); err != nil {
 		return nil, err
 	}
@@ -249,7 +249,6 @@
 	var ack wire.Ack
 	if err := wire.Read(s, wire.FrameAck, &ack); err != nil {
 		if a.mayRun && !a.acked && a.unackedIncarnation == nil {
-			known := a.in.paths.incarnation(a.upstream.Node)
 			a.unackedIncarnation = &known
 		}
 		return nil, timeoutAsSilence(err)
