--- a/link/quiclink/quiclink.go
+++ b/link/quiclink/quiclink.go
@@ -29,6 +29,11 @@
 	resetCode = 1
 	// readBuffer is the size of a stream's read buffer, in bytes.
 	readBuffer = 4 << 10
+	// closeDelay is how long a listener serves its connections on before it closes them: a stream of a closed
+	// connection drops the bytes that were not read yet. It covers a round trip between regions.
+	closeDelay = 100 * time.Millisecond
+	// closeCode is the application error code of a connection that a listener has closed.
+	closeCode = 0
 )
 
 func quicConfig() *quic.Config {
@@ -200,6 +205,10 @@
 type Listener struct {
 	queue    *link.AcceptQueue
 	listener *quic.Listener
+
+	mu     sync.Mutex
+	conns  map[*quic.Conn]struct{}
+	closed bool
 }
 
 // Listen returns a listener for QUIC connections on addr, an IP and UDP port.
@@ -208,7 +217,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("quiclink: %w", err)
 	}
-	l := &Listener{link.NewAcceptQueue(), ln}
+	l := &Listener{queue: link.NewAcceptQueue(), listener: ln, conns: map[*quic.Conn]struct{}{}}
 	go l.acceptConnections()
 	return l, nil
 }
@@ -224,7 +233,42 @@
 	}
 }
 
+// track adds an accepted connection. It reports false if the listener is closed.
+func (l *Listener) track(conn *quic.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.conns[conn] = struct{}{}
+	}
+	return !l.closed
+}
+
+func (l *Listener) forget(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+func (l *Listener) hasConns() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) > 0
+}
+
+// stopTracking returns the open connections. No more are added.
+func (l *Listener) stopTracking() []*quic.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return slices.Collect(maps.Keys(l.conns))
+}
+
 func (l *Listener) acceptStreams(conn *quic.Conn) {
+	if !l.track(conn) {
+		conn.CloseWithError(closeCode, "")
+		return
+	}
+	defer l.forget(conn)
 	for {
 		s, err := conn.AcceptStream(context.Background())
 		if err != nil {
@@ -243,10 +287,18 @@
 // Addr implements link.Listener.
 func (l *Listener) Addr() string { return l.listener.Addr().String() }
 
-// Close implements link.Listener. Accepted connections stay open, but further streams on them are reset.
+// Close implements link.Listener. It also closes the accepted connections, after closeDelay: the end of a process sends
+// nothing to its peers, which would use the connections until they find them silent.
 func (l *Listener) Close() error {
+	if l.hasConns() {
+		time.Sleep(closeDelay)
+	}
 	l.queue.Close()
-	return l.listener.Close()
+	err := l.listener.Close()
+	for _, conn := range l.stopTracking() {
+		conn.CloseWithError(closeCode, "")
+	}
+	return err
 }
 
 type stream struct {
