--- a/ingress/configuration.go
+++ b/ingress/configuration.go
@@ -25,7 +25,7 @@
 // most requests can be served sooner.
 func (in *Ingress) awaitConfig(r *http.Request, began time.Time) *board.View {
 	v := in.cfg.View()
-	if isConfigured(v) {
+	if isConfigured(v) || in.inFlight.isClosed() {
 		return v
 	}
 	limit := in.started.Add(startupGrace).Sub(began)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -65,8 +65,8 @@
 	Parent func(requestID string) *dispatch.RunningRequest
 	// RefuseForRoom makes the ingress refuse new requests whose calls would probably find no room.
 	RefuseForRoom bool
-	// LameDuck makes a leaving node serve new requests until its listener is closed. Otherwise it
-	// refuses them.
+	// LameDuck makes a leaving node serve new requests until RefuseNew is called or its listener is closed. Otherwise
+	// it refuses them, except for calls.
 	LameDuck bool
 	// StopTime is how long nodes run after they have begun to leave, at least if they have work. Requests that
 	// end within it are sent to the upstreams of leaving nodes as well. 0: none.
@@ -93,7 +93,7 @@
 	limits  map[string]*callerLimit
 
 	started  time.Time
-	inFlight sync.WaitGroup
+	inFlight inFlight
 	// interruptCtx is canceled by Interrupt.
 	interruptCtx context.Context
 	interrupt    context.CancelFunc
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -91,7 +91,7 @@
 		return rq, err
 	}
 	rq.parent = in.parentOf(rq.id)
-	if err := in.checkServing(v); err != nil {
+	if err := in.checkServing(v, rq.parent); err != nil {
 		return rq, err
 	}
 	route, err := rq.match(v.Config)
@@ -104,10 +104,12 @@
 	return rq, rq.authenticate(v.Config, route, in.cfg.CallerProtocol.Credential)
 }
 
-// checkServing refuses all requests while the node does not serve any.
-func (in *Ingress) checkServing(v *board.View) error {
+// checkServing refuses requests while the node does not serve any. A call is served as long as its parent runs, which
+// would fail without it.
+func (in *Ingress) checkServing(v *board.View, parent *dispatch.RunningRequest) error {
+	refusesNew := in.inFlight.isClosed() || v.Leaving && !in.cfg.LameDuck
 	switch {
-	case v.Leaving && !in.cfg.LameDuck:
+	case refusesNew && parent == nil:
 		return refuse(outcome.ReasonDraining, "the node is leaving")
 	case !isConfigured(v):
 		return refuse(outcome.ReasonNoConfiguration, "the node has no configuration yet")
--- a/ingress/route.go
+++ b/ingress/route.go
@@ -30,7 +30,7 @@
 	if v.Config != nil {
 		out.Config, out.ConfigCurrent = v.Config.Version.String(), in.isFresh(v)
 	}
-	if err := in.checkServing(v); err != nil {
+	if err := in.checkServing(v, nil); err != nil {
 		out.Refusals = explainRefusal(err)
 		return out
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -32,8 +32,7 @@
 
 // ServeHTTP implements http.Handler.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	in.inFlight.Add(1)
-	defer in.inFlight.Done()
+	defer in.inFlight.begin()()
 	defer in.logPanic(r)
 	in.stats.requests.Add(1)
 	began := time.Now()
@@ -41,7 +40,7 @@
 	conn := http.NewResponseController(w)
 	conn.SetWriteDeadline(time.Time{}) // that of the connection's previous request
 	v := in.awaitConfig(r, began)
-	if v.Leaving {
+	if v.Leaving || in.inFlight.isClosed() {
 		// Makes the caller open its next connection, which can then go to another node.
 		w.Header().Set("Connection", "close")
 	}
@@ -379,25 +378,6 @@
 	}
 }
 
-// Leave waits until all requests in flight have been answered, or ctx ends. New
-// requests are refused from when the view says that the node is leaving, unless Config.LameDuck is
-// set.
-func (in *Ingress) Leave(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() { in.inFlight.Wait(); close(done) }()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// Interrupt ends all requests in flight at once. Those that no dispatcher may have run are answered
-// with "not run", the others with "unknown". If the process exited without it, their callers would
-// get no answer.
-func (in *Ingress) Interrupt() { in.interrupt() }
-
 // Maintain drops the entries of upstreams and nodes that are no longer in use. It is called about
 // once a minute.
 func (in *Ingress) Maintain(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -278,7 +278,8 @@
 	err := wrap("requests of callers", n.finishRequests(ctx))
 	// Until here, the dispatcher accepts attempts of other nodes that end before stopAt.
 	n.closeUpstreams(stopAt)
-	err = errors.Join(err, wrap("attempts of other nodes", n.dispatcher.Leave(ctx)), <-leaveResult)
+	err = errors.Join(err, wrap("attempts of other nodes", n.dispatcher.Leave(ctx)))
+	err = errors.Join(err, wrap("connections of callers", n.closeCallers(ctx)), <-leaveResult)
 	n.closeAll()
 	if err != nil {
 		return fmt.Errorf("node: leave: %w", err)
@@ -295,10 +296,20 @@
 	return nil
 }
 
-// finishRequests closes the listener for callers and waits for their requests in flight, and for
+// finishRequests takes no new requests of callers and waits for those in flight. The listener and idle connections stay
+// open for the calls of requests that upstreams of this VM run, if calls are recognized.
+func (n *Node) finishRequests(ctx context.Context) error {
+	if n.options.CallerProtocol.CallSeparator == "" {
+		return n.closeCallers(ctx)
+	}
+	n.ingress.RefuseNew()
+	return n.ingress.Leave(ctx)
+}
+
+// closeCallers closes the listener for callers and waits for their requests in flight, and for
 // those that are still being read. Idle connections are closed, so that callers connect to other
 // nodes.
-func (n *Node) finishRequests(ctx context.Context) error {
+func (n *Node) closeCallers(ctx context.Context) error {
 	n.callerLn.Close()
 	return errors.Join(n.callerConns.Finish(ctx), n.ingress.Leave(ctx))
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -111,6 +111,11 @@
 
 // startNodeWith starts a node with settings that the function change has modified.
 func startNodeWith(t testing.TB, m *fakeMembership, keyDir, name, transport string, change func(*Settings)) (*Node, func()) {
+	return startNodeOptions(t, m, keyDir, name, transport, change, Options{})
+}
+
+// startNodeOptions starts a node with settings that the function change has modified, and with options.
+func startNodeOptions(t testing.TB, m *fakeMembership, keyDir, name, transport string, change func(*Settings), options Options) (*Node, func()) {
 	dir := filepath.Join(t.TempDir(), name)
 	assert.NilError(t, keys.Issue(keyDir, dir, name, keys.RoleNode, time.Hour))
 	settings := Defaults()
@@ -120,7 +125,8 @@
 	change(&settings)
 	log, err := logging.New(os.Stderr, logging.Text, "warn")
 	assert.NilError(t, err)
-	n, err := New(settings, log, Options{Join: func(Parts) (Membership, ConfigSource, error) { return m, fixedConfig{m.config}, nil }})
+	options.Join = func(Parts) (Membership, ConfigSource, error) { return m, fixedConfig{m.config}, nil }
+	n, err := New(settings, log, options)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
