--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +36,7 @@
 		s.Reset()
 		return
 	}
-	r := &relay{ingress: s, dispatcher: out}
+	r := &relay{outlivesStop: d.outlivesStop, ingress: s, dispatcher: out}
 	defer r.stopLimit()
 	requestCopied := make(chan struct{})
 	go func() {
@@ -73,6 +74,8 @@
 
 // relay copies the frames of one attempt between its ingress and its dispatcher.
 type relay struct {
+	// outlivesStop reports whether an attempt might still run when the relay's node ends.
+	outlivesStop        func(head *wire.AttemptHead, deadline time.Time) bool
 	ingress, dispatcher link.Stream
 	// answered is set once the whole answer has been read.
 	answered atomic.Bool
@@ -86,13 +89,19 @@
 // bodyUnread reports whether the ingress may still be sending a streamed body.
 func (r *relay) bodyUnread() bool { return r.bodyAsked.Load() && !r.bodyEnded.Load() }
 
-// setLimit bounds the exchange by the deadline in the head of the attempt: an ingress that does not read
-// its answer would otherwise block the relay without end.
-func (r *relay) setLimit(payload []byte) error {
+// errRelayEnds means that the relay's node ends before the attempt might.
+var errRelayEnds = errors.New("dispatch: the attempt could outlast the relay")
+
+// checkHead refuses an attempt that the end of this node might cut off. It bounds the exchange by the deadline in the
+// head of the attempt: an ingress that does not read its answer would otherwise block the relay without end.
+func (r *relay) checkHead(payload []byte) error {
 	var head wire.AttemptHead
 	if err := decodeHead(payload, &head); err != nil {
 		return err
 	}
+	if r.outlivesStop(&head, time.Now().Add(head.Remaining())) {
+		return errRelayEnds
+	}
 	r.limit.Store(time.AfterFunc(head.Remaining()+writeGrace, func() {
 		r.ingress.Reset()
 		r.dispatcher.Reset()
@@ -115,7 +124,7 @@
 	if f.Type != wire.FrameAttempt {
 		return &wire.UnexpectedFrameError{Got: f.Type, Want: wire.FrameAttempt}
 	}
-	if err := r.setLimit(f.Payload); err != nil {
+	if err := r.checkHead(f.Payload); err != nil {
 		return err
 	}
 	return r.dispatcher.WriteFrame(f.Type, f.Payload)
--- a/dispatch/relay_test.go
+++ b/dispatch/relay_test.go
@@ -64,3 +64,29 @@
 	assert.NilError(t, wire.Read(s, wire.FrameAck, nil))
 	assertLeaves(t, d, 200*time.Millisecond+2*writeGrace)
 }
+
+// Guards against a leaving node that relays an attempt which could outlast it: its end would cut the attempt off while
+// the upstream is at work.
+func TestLeavingRelayTakesNothingThatCouldBeLost(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	d, mux := newRelay(func(_ context.Context, s link.Stream, _ link.Frame) {
+		begun <- struct{}{}
+		wire.Write(s, wire.FrameAck, wire.Ack{Incarnation: 1})
+		s.Reset()
+	})
+	d.BeginLeave(time.Now().Add(time.Second))
+	for _, c := range []struct {
+		remainingMs int64
+		taken       bool
+	}{{5000, false}, {500, true}} {
+		s, far := link.Pipe("ingress", "relay")
+		mux.Start(far)
+		head := orderHead("a")
+		head.RemainingMs = c.remainingMs
+		assert.NilError(t, wire.Write(s, wire.FrameRelay, wire.RelayHead{Addr: "peer"}))
+		assert.NilError(t, wire.Write(s, wire.FrameAttempt, head))
+		acknowledged := wire.Read(s, wire.FrameAck, nil) == nil
+		assert.Equal(t, acknowledged, c.taken, "%d ms", c.remainingMs)
+		assert.Equal(t, len(begun) > 0, c.taken, "%d ms", c.remainingMs)
+	}
+}
