--- a/dispatch/retries.go
+++ b/dispatch/retries.go
@@ -37,8 +37,9 @@
 // would stay unused.
 func (u *upstream) grantRetry(now time.Time, head *wire.AttemptHead, e outcome.Ended, result Result) bool {
 	shed := e == outcome.HasNotRun(outcome.ReasonUpstreamShed)
-	failed := head.Idempotent && (result == ResultError || result == ResultBroken || e.Reason == outcome.ReasonStopped)
-	if !shed && !failed {
+	failed := head.Idempotent && (result == ResultError || result == ResultBroken)
+	stopped := e == outcome.MayHaveRun(outcome.ReasonStopped)
+	if !shed && !failed && !stopped {
 		return false
 	}
 	u.mu.Lock()
@@ -47,6 +48,11 @@
 		return false
 	}
 	u.retries.Limits = u.retryLimits(u.service)
+	if stopped {
+		// What this upstream has left of its part ends with the process, and few runs are at work then.
+		u.retries.Charge(now)
+		return true
+	}
 	return u.retries.Allow(now)
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -138,9 +138,18 @@
 // customerFlow precedes the name of a customer in Ticket.Caller. No name of a caller and no IP address begins with it.
 const customerFlow = "customer:"
 
-// ticket returns the ticket of the attempt for the admission queue. An attempt whose kind this node
-// does not know yet gets the least urgent level.
+// ticket returns the ticket of the attempt for the admission queue.
 func (d *Dispatcher) ticket(a *attempt, head *wire.AttemptHead) admission.Ticket {
+	t := d.ticketByRank(a, head)
+	if head.HandedBack {
+		t.Level, t.Call, t.Retry = mostUrgentLevel, true, false
+	}
+	return t
+}
+
+// ticketByRank returns the ticket by the rank of the attempt and its run. An attempt whose kind this node
+// does not know yet gets the least urgent level.
+func (d *Dispatcher) ticketByRank(a *attempt, head *wire.AttemptHead) admission.Ticket {
 	deadline, _ := a.ctx.Deadline()
 	t := admission.Ticket{Level: leastUrgentLevel, Caller: head.Caller, Weight: 1, Deadline: deadline, Retry: head.Retry}
 	if head.Customer != "" {
@@ -197,8 +206,12 @@
 	t.Loss = loss.Loss()
 }
 
-// leastUrgentLevel is the level of attempts whose rank is not known.
-const leastUrgentLevel = 31
+const (
+	// mostUrgentLevel is the level of attempts that were handed back: a stop must not cost their callers the answer.
+	mostUrgentLevel = 0
+	// leastUrgentLevel is the level of attempts whose rank is not known.
+	leastUrgentLevel = 31
+)
 
 // exchange sends the request to the upstream and writes its answer to w.
 func (d *Dispatcher) exchange(a *attempt, u *upstream, head *wire.AttemptHead, body *requestBody, w *answerWriter) (outcome.Ended, Result) {
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -8,9 +8,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/godwithub/godwithub/announce"
 	"github.com/godwithub/godwithub/internal/testwait"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/outcome"
+	"github.com/godwithub/godwithub/retry"
 	"github.com/godwithub/godwithub/wire"
 )
 
@@ -133,3 +135,35 @@
 		assert.Equal(t, end.Outcome, outcome.Answered)
 	}
 }
+
+// Guards against a request that was handed back by a stopping node and fails since it waits behind new requests.
+func TestHandedBackAttemptPrecedesOthers(t *testing.T) {
+	order := make(chan string, 3)
+	free := make(chan struct{}, 3)
+	f := newFixture(t, nil, func(_ http.ResponseWriter, r *http.Request) {
+		order <- r.URL.Path
+		<-free
+	})
+	t.Cleanup(func() { close(free) })
+	running := begin(t, f, idempotentHead("a", "first"))
+	assert.NilError(t, running.WriteFrame(wire.FrameEnd, nil))
+	assert.Equal(t, <-order, "/first")
+	handedBack := idempotentHead("c", "handed-back")
+	handedBack.HandedBack, handedBack.Retry = true, true
+	for i, head := range []*wire.AttemptHead{idempotentHead("b", "new"), handedBack} {
+		head.Insist = true
+		assert.NilError(t, begin(t, f, head).WriteFrame(wire.FrameEnd, nil))
+		testwait.Until(t, 5*time.Second, "the attempt waits", func() bool { return f.upstreamStatuses()[0].Queued == i+1 })
+	}
+	free <- struct{}{}
+	assert.Equal(t, <-order, "/handed-back")
+}
+
+// Guards against a request that was handed back by a stopping node and not sent elsewhere for want of a retry budget.
+func TestInterruptedAttemptHasItsRetryGranted(t *testing.T) {
+	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Slots: 1}, &Protocol{})
+	u.retryLimits = func(string) retry.Limits { return retry.Limits{Ratio: 0.1} }
+	head := idempotentHead("a", "list")
+	assert.Assert(t, !u.grantRetry(time.Now(), head, outcome.MayHaveRun(outcome.ReasonLostUpstream), ResultBroken))
+	assert.Assert(t, u.grantRetry(time.Now(), head, outcome.MayHaveRun(outcome.ReasonStopped), ResultRefused))
+}
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -31,14 +31,17 @@
 const shortRun = 50 * time.Millisecond
 
 // needsFreeSlot reports whether enough queues were too long for the request that it goes only to an upstream
-// that takes it at once: one for a new request, maxLongQueues for a call.
+// that takes it at once: one for a new request, maxLongQueues for one that precedes new ones.
 func (h *requestHandler) needsFreeSlot() bool {
-	if h.rq.parent == nil {
+	if !h.precedesNew() {
 		return h.longQueues > 0
 	}
 	return h.longQueues >= maxLongQueues
 }
 
+// precedesNew reports whether the request precedes new ones at upstreams, since work that was done is lost without it.
+func (h *requestHandler) precedesNew() bool { return h.rq.parent != nil || h.handedBack }
+
 // recordAttempt records the outcome of an attempt at u. end is nil if the dispatcher reported none.
 func (h *requestHandler) recordAttempt(u *board.Upstream, e outcome.Ended, end *wire.AnswerEnd) {
 	short := e.Outcome != outcome.NotRun && end != nil && end.Served() < shortRun
@@ -46,6 +49,7 @@
 	if e.Outcome != outcome.NotRun {
 		h.runs++
 	}
+	h.handedBack = h.handedBack || e == outcome.MayHaveRun(outcome.ReasonStopped)
 	h.arrived = h.arrived || e.Outcome != outcome.NotRun || e.Reason == outcome.ReasonUpstreamShed
 	if e.Reason == outcome.ReasonRetryBudget {
 		h.budgetDeclines++
@@ -150,7 +154,7 @@
 func (c *selection) admits(u *board.Upstream) bool {
 	crossesRegion := u.Region != c.view.Self.Region
 	switch {
-	case c.rq.parent == nil && c.in.loads.refuses(u.ID, c.rq, c.now):
+	case !c.precedesNew() && c.in.loads.refuses(u.ID, c.rq, c.now):
 		c.in.stats.shedEarly.Add(1)
 		c.balanceReq.Tried = append(slices.Clip(c.balanceReq.Tried), u.ID)
 	case crossesRegion && c.in.cfg.CrossRegion != nil && !c.in.cfg.CrossRegion(c.rq.level, c.rq.crossingBytes()):
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -136,6 +136,8 @@
 	arrived bool
 	// budgetDeclines counts the attempts that were declined for want of a retry budget.
 	budgetDeclines int
+	// handedBack is set once a node that had to stop has ended a run of the request.
+	handedBack bool
 	// retryGranted is set while a retry that a dispatcher has granted is unused.
 	retryGranted bool
 	// declined lists the upstreams that declined an attempt. Attempts that insist may go to them
@@ -279,6 +281,7 @@
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
 	a.head.Notice = h.in.loads.notice(u.ID)
+	a.head.HandedBack = h.handedBack
 	a.head.RetryGranted, a.head.SameNode = h.retryGranted, u.Node == h.view.Self.ID
 	a.head.Repeat, a.head.RepeatedCalls = h.arrived, h.in.retriesOf(h.rq.service.Name).takeRepeatedCalls()
 	a.head.Insist, a.head.MayHaveRun, a.head.LastRun = h.insists(), h.runs > 0, h.lastRun(now)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -135,6 +135,9 @@
 	// RetryGranted says that the dispatcher of an earlier attempt has counted this repeat in its retry budget; see
 	// AnswerEnd.RetryGranted.
 	RetryGranted bool `cbor:"28,keyasint,omitempty"`
+	// HandedBack says that a node has ended an earlier run of the request, since it had to stop. The work of that run is
+	// lost unless this attempt is answered.
+	HandedBack bool `cbor:"30,keyasint,omitempty"`
 	// SameNode says that the request came in at the node of the dispatcher.
 	SameNode bool `cbor:"29,keyasint,omitempty"`
 }
