--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -56,14 +56,20 @@
 		}
 		return newAnswerEnd(u, e)
 	}
+	// An attempt that came before the stop began may have waited until now. An upload can go elsewhere only until its body
+	// is asked for.
+	if deadline, _ := a.ctx.Deadline(); d.outlivesStop(head, deadline) {
+		u.release(ticket, 0)
+		c.abandon()
+		return newAnswerEnd(u, outcome.HasNotRun(outcome.ReasonDraining))
+	}
 	if err := body.begin(w); err != nil {
 		// The ingress has left, or has not sent a byte by the deadline.
 		u.release(ticket, 0)
 		c.abandon()
 		return newAnswerEnd(u, outcome.HasNotRun(outcome.ReasonCanceled))
 	}
-	// An attempt that came before the stop began may have waited until now.
-	if deadline, _ := a.ctx.Deadline(); d.outlivesStop(head, deadline) || !u.start(ticket, head.Fingerprint) {
+	if !u.start(ticket, head.Fingerprint) {
 		u.release(ticket, 0)
 		c.abandon()
 		return newAnswerEnd(u, outcome.HasNotRun(outcome.ReasonDraining))
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -167,3 +167,30 @@
 	assert.Assert(t, !u.grantRetry(time.Now(), head, outcome.MayHaveRun(outcome.ReasonLostUpstream), ResultBroken))
 	assert.Assert(t, u.grantRetry(time.Now(), head, outcome.MayHaveRun(outcome.ReasonStopped), ResultRefused))
 }
+
+// Guards against an upload that is refused for the stop only after its body was asked for: it cannot be sent to another
+// node then.
+func TestWaitingUploadIsRefusedBeforeItsBodyIsAskedFor(t *testing.T) {
+	free := make(chan struct{})
+	f := newFixture(t, nil, func(http.ResponseWriter, *http.Request) { <-free })
+	var once sync.Once
+	finishRun := func() { once.Do(func() { close(free) }) }
+	t.Cleanup(finishRun)
+	running := begin(t, f, orderHead("a"))
+	assert.NilError(t, running.WriteFrame(wire.FrameEnd, nil))
+	testwait.Until(t, 5*time.Second, "the first attempt is at its upstream", func() bool { return f.runs.Load() == 1 })
+	upload := orderHead("b")
+	upload.Streamed, upload.BodyBytes, upload.Insist = true, 1<<20, true
+	waiting := begin(t, f, upload)
+	testwait.Until(t, 5*time.Second, "the upload waits", func() bool { return f.upstreamStatuses()[0].Queued == 1 })
+	f.BeginLeave(time.Now().Add(4 * time.Second))
+	finishRun()
+	for {
+		frame, err := waiting.ReadFrame()
+		assert.NilError(t, err)
+		assert.Assert(t, frame.Type != wire.FrameContinue, "the body is asked for")
+		if frame.Type == wire.FrameAnswerEnd {
+			return
+		}
+	}
+}
