--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -53,7 +53,7 @@
 	if stopAt.IsZero() {
 		return false
 	}
-	c := StopCheck{StopAt: stopAt, Deadline: deadline, Longest: d.kinds.longest(head.Kind), Repeatable: repeatable(head), SameNode: head.SameNode}
+	c := StopCheck{StopAt: stopAt, Deadline: deadline, Longest: d.kinds.longest(head.Kind), Repeatable: head.Repeatable, SameNode: head.SameNode}
 	return !c.Allows(time.Now())
 }
 
@@ -86,15 +86,12 @@
 	}
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	headReceived = func() bool { return true }
-	if repeatable(head) {
+	if head.Repeatable {
 		headReceived = context.AfterFunc(d.interruptCtx, func() { cancel(errInterrupted) })
 	}
 	return ctx, headReceived, func() { headReceived(); cancel(nil) }
 }
 
-// repeatable reports whether the request of an attempt may run once more if this run is lost.
-func repeatable(head *wire.AttemptHead) bool { return head.Idempotent && !head.LastRun }
-
 // Leave refuses new attempts from now on and waits until the active ones have ended or ctx is done.
 func (d *Dispatcher) Leave(ctx context.Context) error {
 	d.mu.Lock()
--- a/dispatch/stop_test.go
+++ b/dispatch/stop_test.go
@@ -37,10 +37,10 @@
 	}
 }
 
-// idempotentHead returns the head of an idempotent attempt without a body.
+// idempotentHead returns the head of an idempotent attempt without a body, at a request that may run once more.
 func idempotentHead(id, kind string) *wire.AttemptHead {
 	head := orderHead(id)
-	head.Kind, head.Target, head.Idempotent = kind, "/"+kind, true
+	head.Kind, head.Target, head.Idempotent, head.Repeatable = kind, "/"+kind, true, true
 	return head
 }
 
@@ -118,7 +118,7 @@
 	f.announcement.Slots = 3
 	f.Announce(f.announcement)
 	lastRun := idempotentHead("last", "list")
-	lastRun.LastRun = true
+	lastRun.Repeatable = false
 	var streams []link.Stream
 	for _, head := range []*wire.AttemptHead{idempotentHead("first", "list"), lastRun, orderHead("order")} {
 		s := begin(t, f, head)
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -49,7 +49,9 @@
 	if e.Outcome != outcome.NotRun {
 		h.runs++
 	}
-	h.handedBack = h.handedBack || e == outcome.MayHaveRun(outcome.ReasonStopped)
+	if e == outcome.MayHaveRun(outcome.ReasonStopped) {
+		h.beginAgain()
+	}
 	h.arrived = h.arrived || e.Outcome != outcome.NotRun || e.Reason == outcome.ReasonUpstreamShed
 	if e.Reason == outcome.ReasonRetryBudget {
 		h.budgetDeclines++
@@ -79,6 +81,22 @@
 	return !h.rq.kind.Idempotent || h.runs+1 >= h.maxRuns() || !h.in.retriesOf(h.rq.service.Name).wouldAllow(now)
 }
 
+// repeatable reports whether the request may run once more if its next run is lost: by its kind and budget, and since
+// neither its body nor a part of its answer has been passed on by then.
+func (h *requestHandler) repeatable(now time.Time) bool {
+	return !h.lastRun(now) && h.rq.body.Whole() && !h.in.work.hasLongAnswers(h.rq.kind.Name)
+}
+
+// countedAttempts returns the number of attempts that count towards retry.MaxAttempts: after the request was handed back,
+// as many are made as for a new one.
+func (h *requestHandler) countedAttempts() int { return h.attempts - h.attemptsBefore }
+
+// beginAgain forgets which upstreams have declined the request, after a stopping node has handed it back.
+func (h *requestHandler) beginAgain() {
+	h.handedBack, h.attemptsBefore = true, h.attempts
+	h.declined, h.allDeclined, h.longQueues = nil, false, 0
+}
+
 // insists reports whether the next upstream has to take the attempt even if it is busy.
 func (h *requestHandler) insists() bool {
 	return !h.askOthers && (h.allDeclined || len(h.declined) >= insistAfter)
@@ -91,7 +109,7 @@
 	switch {
 	case h.needsFreeSlot():
 		return true
-	case h.allDeclined, len(h.declined) < insistAfter, h.attempts+1 >= retry.MaxAttempts:
+	case h.allDeclined, len(h.declined) < insistAfter, h.countedAttempts()+1 >= retry.MaxAttempts:
 		return false
 	}
 	req.Tried = h.tried
@@ -133,7 +151,7 @@
 func (h *requestHandler) pick(now time.Time) (*board.Upstream, outcome.Reason) {
 	c := &selection{requestHandler: h, now: now, reason: outcome.ReasonNoUpstream, balanceReq: newBalanceRequest(h.view, h.rq)}
 	c.balanceReq.LastRun = h.lastRun(now)
-	candidates, upstreams := h.in.candidates(h.view, h.rq, now)
+	candidates, upstreams := h.in.candidates(h.view, h.rq, now, h.repeatable(now))
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.askOthers = h.shouldAskOthers(r, c.balanceReq, candidates)
 	c.balanceReq.Tried, c.balanceReq.LoadsKnown = h.excluded(), h.insists()
--- a/ingress/pick_test.go
+++ b/ingress/pick_test.go
@@ -106,8 +106,8 @@
 		u, _ := h.pick(now.Add(after))
 		return u != nil
 	}
-	h.in.work.record("list", &wire.AnswerEnd{ServedMs: 300})
-	h.in.work.record("export", &wire.AnswerEnd{ServedMs: 4000})
+	h.in.work.record("list", &wire.AnswerEnd{ServedMs: 300}, false)
+	h.in.work.record("export", &wire.AnswerEnd{ServedMs: 4000}, false)
 	assert.Assert(t, picked("list", 3*time.Second))
 	assert.Assert(t, !picked("list", 5*time.Second))
 	assert.Assert(t, picked("export", 0))
@@ -119,3 +119,39 @@
 	h.in.cfg.StopTime = 0
 	assert.Assert(t, !picked("list", 0))
 }
+
+// Guards against attempts at leaving nodes whose dispatchers decline them: the last run of a request is like one that
+// must not run twice. Each of them takes one of the few attempts of the request.
+func TestLastRunGoesToNoNodeThatDeclinesIt(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	h := homeAndRemote()
+	h.in.cfg.StopTime = 5 * time.Second
+	list := h.view.Upstreams["shop"]
+	for i := range list {
+		list[i].Node, list[i].LeavingSince = "other", now
+	}
+	h.rq.kind = &resource.RequestKind{Meta: resource.Meta{Name: "list"}, Idempotent: true, MaxAttempts: 2}
+	h.rq.deadline = now.Add(10 * time.Second)
+	h.in.work.record("list", &wire.AnswerEnd{ServedMs: 300}, false)
+	h.runs = 1
+	assert.Assert(t, h.lastRun(now))
+	u, _ := h.pick(now)
+	assert.Assert(t, u == nil, "a request goes to a node that will decline it")
+}
+
+// Guards against a request that was handed back by a stopping node and gets no other attempt, since upstreams had declined
+// it before.
+func TestHandedBackRequestHasAttemptsLeft(t *testing.T) {
+	h := homeAndRemote()
+	u := &h.view.Upstreams["shop"][0]
+	for range insistAfter {
+		h.attempts++
+		h.recordAttempt(u, outcome.HasNotRun(outcome.ReasonBusy), nil)
+	}
+	h.attempts = retry.MaxAttempts
+	h.recordAttempt(u, outcome.MayHaveRun(outcome.ReasonStopped), &wire.AnswerEnd{RetryGranted: true})
+	assert.Equal(t, h.countedAttempts(), 0)
+	assert.Assert(t, !h.insists(), "upstreams that declined before may have room now")
+	h.answer, h.rq.kind.Idempotent, h.rq.deadline = &answer{}, true, time.Now().Add(time.Minute)
+	assert.Assert(t, h.shouldRetry(h.in.retriesOf("shop"), outcome.MayHaveRun(outcome.ReasonStopped)))
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -138,6 +138,8 @@
 	budgetDeclines int
 	// handedBack is set once a node that had to stop has ended a run of the request.
 	handedBack bool
+	// attemptsBefore is the number of attempts that were made until then.
+	attemptsBefore int
 	// retryGranted is set while a retry that a dispatcher has granted is unused.
 	retryGranted bool
 	// declined lists the upstreams that declined an attempt. Attempts that insist may go to them
@@ -241,7 +243,7 @@
 	return retries.allow(now, retry.RequestState{
 		Ended:      e,
 		Idempotent: h.rq.kind.Idempotent,
-		Attempts:   h.attempts,
+		Attempts:   h.countedAttempts(),
 		Free:       h.retryGranted || !e.UsedCapacity(),
 		Runs:       h.runs,
 		MaxRuns:    h.maxRuns(),
@@ -253,7 +255,7 @@
 // failed now.
 func (h *requestHandler) mayRetry() bool {
 	now := time.Now()
-	return h.rq.body.Replayable() && h.attempts < retry.MaxAttempts && h.budgetDeclines < maxBudgetDeclines &&
+	return h.rq.body.Replayable() && h.countedAttempts() < retry.MaxAttempts && h.budgetDeclines < maxBudgetDeclines &&
 		now.Before(h.rq.deadline) && h.in.retriesOf(h.rq.service.Name).wouldAllow(now)
 }
 
@@ -281,7 +283,7 @@
 		return outcome.HasNotRun(outcome.ReasonDeadline), true
 	}
 	a.head.Notice = h.in.loads.notice(u.ID)
-	a.head.HandedBack = h.handedBack
+	a.head.HandedBack, a.head.Repeatable = h.handedBack, h.repeatable(now)
 	a.head.RetryGranted, a.head.SameNode = h.retryGranted, u.Node == h.view.Self.ID
 	a.head.Repeat, a.head.RepeatedCalls = h.arrived, h.in.retriesOf(h.rq.service.Name).takeRepeatedCalls()
 	a.head.Insist, a.head.MayHaveRun, a.head.LastRun = h.insists(), h.runs > 0, h.lastRun(now)
@@ -293,7 +295,7 @@
 	h.recordAttempt(u, e, end)
 	h.in.recordRoom(h.rq, e, end, time.Now())
 	if e.Outcome == outcome.Answered && h.answer.head.Status < http.StatusInternalServerError {
-		h.in.work.record(h.rq.kind.Name, end)
+		h.in.work.record(h.rq.kind.Name, end, h.answer.begun)
 	}
 	h.trace = append(h.trace, AttemptTrace{u.ID, u.Node, time.Since(now), e.Outcome.String(), string(e.Reason)})
 	return e, true
--- a/ingress/work.go
+++ b/ingress/work.go
@@ -22,12 +22,19 @@
 // The zero value is empty. It is safe for concurrent use.
 type workTable struct {
 	mu     sync.Mutex
-	byKind map[string]*capacity.Work
+	byKind map[string]*kindWork
 }
 
-// record adds a successful run of a kind. It ignores a nil end, which means that the run time is not known.
-// Failed runs must not be recorded: a failing upstream often fails at once, which would lower the estimate.
-func (t *workTable) record(kind string, end *wire.AnswerEnd) {
+// kindWork is what is known of the runs of one kind.
+type kindWork struct {
+	capacity.Work
+	// longAnswers is set once an answer was too long to be held back until it was complete.
+	longAnswers bool
+}
+
+// record adds a successful run of a kind. longAnswer says that its answer was passed on before it was complete. It
+// ignores a nil end, which means that the run time is not known. Failed runs must not be recorded: a failing upstream often fails at once, which would lower the estimate.
+func (t *workTable) record(kind string, end *wire.AnswerEnd, longAnswer bool) {
 	if end == nil {
 		return
 	}
@@ -36,12 +43,13 @@
 	w := t.byKind[kind]
 	if w == nil {
 		if t.byKind == nil || len(t.byKind) >= maxWorkKinds {
-			t.byKind = map[string]*capacity.Work{}
+			t.byKind = map[string]*kindWork{}
 		}
-		w = &capacity.Work{}
+		w = &kindWork{}
 		t.byKind[kind] = w
 	}
-	w.Record(end.Served(), false)
+	w.Record(max(end.Served(), time.Millisecond), false)
+	w.longAnswers = w.longAnswers || longAnswer
 }
 
 // longest returns a time within which nearly all runs of a kind end. known is false if no run was recorded.
@@ -55,9 +63,17 @@
 	return w.Longest(), true
 }
 
+// hasLongAnswers reports whether answers of a kind may be passed on before they are complete.
+func (t *workTable) hasLongAnswers(kind string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.byKind[kind]
+	return w != nil && w.longAnswers
+}
+
 // endsBeforeStop reports whether a request that is sent to u now will end before u's node stops, or can run once more
 // elsewhere, if that node is leaving. The dispatcher of that node knows when it stops and declines what it may not take.
-func (in *Ingress) endsBeforeStop(v *board.View, u *board.Upstream, rq *request, now time.Time) bool {
+func (in *Ingress) endsBeforeStop(v *board.View, u *board.Upstream, rq *request, now time.Time, repeatable bool) bool {
 	if u.LeavingSince.IsZero() {
 		return true
 	}
@@ -70,7 +86,7 @@
 	}
 	c := dispatch.StopCheck{
 		StopAt:   u.LeavingSince.Add(in.cfg.StopTime - leavingMargin),
-		Deadline: rq.deadline, Longest: longest, Repeatable: rq.kind.Idempotent, SameNode: sameNode,
+		Deadline: rq.deadline, Longest: longest, Repeatable: repeatable, SameNode: sameNode,
 	}
 	return c.Allows(now)
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -135,6 +135,8 @@
 	// RetryGranted says that the dispatcher of an earlier attempt has counted this repeat in its retry budget; see
 	// AnswerEnd.RetryGranted.
 	RetryGranted bool `cbor:"28,keyasint,omitempty"`
+	// Repeatable says that the request may run once more if this run is lost.
+	Repeatable bool `cbor:"31,keyasint,omitempty"`
 	// HandedBack says that a node has ended an earlier run of the request, since it had to stop. The work of that run is
 	// lost unless this attempt is answered.
 	HandedBack bool `cbor:"30,keyasint,omitempty"`
