--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/godwithub/godwithub/consensus"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/wire"
@@ -51,18 +52,20 @@
 	lastLogged := ""
 	for sleep(ctx, joinInterval) {
 		r := j.replica.Load()
-		if r == nil || j.leaving.Load() {
+		if r == nil {
 			continue
 		}
-		if status := r.Status(); status.Membership.IsVoter(status.ID) {
-			if holdsOnlyFounding(status) && j.othersHaveGroup(ctx, status) {
+		view := j.view()
+		switch view.action() {
+		case actCompareFounding:
+			if j.othersHaveGroup(ctx, *view.status) {
 				j.discardFounding(r)
 			}
-			continue
-		}
-		if err := j.requestJoin(ctx); err != nil && err.Error() != lastLogged {
-			lastLogged = err.Error()
-			j.log.Info("this replica could not join the group yet", "cause", lastLogged)
+		case actRequestJoin:
+			if err := j.requestJoin(ctx); err != nil && err.Error() != lastLogged {
+				lastLogged = err.Error()
+				j.log.Info("this replica could not join the group yet", "cause", lastLogged)
+			}
 		}
 	}
 }
@@ -70,11 +73,8 @@
 // requestJoin asks each candidate in turn, followed by any leader that a candidate names.
 func (j *joiner) requestJoin(ctx context.Context) error {
 	lastErr := errors.New("no other control process is known")
-	addrs := j.candidateAddrs()
-	if leader, ok := j.LeaderLink(); ok {
-		// The seeds of a member that was away for long may all be gone.
-		addrs = append([]string{leader}, addrs...)
-	}
+	leader, _ := j.LeaderLink()
+	addrs := joinAddrs(leader, j.candidateAddrs())
 	for i := 0; i < len(addrs); i++ {
 		if addrs[i] == j.self.linkAddr {
 			continue
@@ -134,16 +134,14 @@
 	if r == nil {
 		return joinReply{Fault: "the group is not founded yet"}
 	}
-	if leader, addr, ok := r.Leader(); !ok {
-		return joinReply{Fault: "no leader is known"}
-	} else if leader != j.replicaID() {
-		return joinReply{Leader: parseAddress(addr).linkAddr}
-	}
 	status := r.Status()
-	replaced := memberToReplace(m.ID, status.Membership, j.silent.update(status, time.Now()))
+	if leads, reply := leadsJoin(status.Status, status.LeaderAddr); !leads {
+		return reply
+	}
+	replaced := memberToReplace(m.ID, status.Membership, j.silent.update(status.Status, time.Now()))
 	j.log.Info("member joins", "member", m.ID, "replaces", replaced)
 	// The replaced voter may only be cut off, so it stays a member.
-	err := j.changeMembers(ctx, func(c *memberChange) error { return c.put(replaced, m, c.demoteReplicas) })
+	err := j.changeMembers(ctx, func(c *memberChange) error { return c.put(replaced, m, consensus.Demote) })
 	if err != nil {
 		j.log.Warn("member not added to the group", "member", m.ID, "fault", err)
 		return joinReply{Fault: err.Error()}
@@ -163,7 +161,7 @@
 			continue
 		}
 		status, now := r.Status(), time.Now()
-		change, ok := changeForSilence(status.Membership, j.silent.update(status, now), now)
+		change, ok := changeForSilence(status.Membership, j.silent.update(status.Status, now), now)
 		if !ok {
 			continue
 		}
--- a/controld/autojoin_test.go
+++ b/controld/autojoin_test.go
@@ -7,7 +7,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/consensus"
-	"github.com/godwithub/godwithub/consensus/replica"
 )
 
 func testVoters(ids ...string) consensus.Membership {
@@ -20,8 +19,8 @@
 }
 
 // statusOf returns the status of member 1 as the leader of members, of which it hears those in heard.
-func statusOf(members consensus.Membership, heard ...consensus.ReplicaID) replica.Status {
-	s := replica.Status{Status: consensus.Status{ID: 1, Membership: members, Heard: map[consensus.ReplicaID]bool{}}}
+func statusOf(members consensus.Membership, heard ...consensus.ReplicaID) consensus.Status {
+	s := consensus.Status{ID: 1, Membership: members, Heard: map[consensus.ReplicaID]bool{}}
 	for _, id := range heard {
 		s.Heard[id] = true
 	}
--- a/controld/found.go
+++ b/controld/found.go
@@ -47,20 +47,8 @@
 }
 
 func (g *Group) info() memberInfo {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	info := memberInfo{ID: g.replicaID(), Blank: g.blank, InitialMembership: g.initialMembership, Coordinator: g.coordinator}
-	if r := g.replica.Load(); r != nil {
-		status := r.Status()
-		info.Blank = info.Blank && status.Last == 0
-		if status.Leader != 0 && status.MembershipCommitted {
-			info.Membership = status.Membership
-		}
-	}
-	for _, f := range g.founders {
-		info.ConfiguredFounders = append(info.ConfiguredFounders, f.id)
-	}
-	return info
+	v := g.view()
+	return v.info()
 }
 
 // fetchMemberInfo returns the memberInfo of the replica at linkAddr. It fails with a wrongNameError
@@ -154,24 +142,10 @@
 // absentSince is since when founders have been out of reach; it is updated.
 func (g *Group) findFounders(ctx context.Context, absentSince *time.Time) (founders consensus.Membership, exists bool, err error) {
 	view := foundingView{self: g.self, selfID: g.replicaID(), founders: g.founders, others: g.askFounders(ctx)}
-	for _, f := range g.founders {
-		state, asked := view.others[f.id]
-		if !asked || state.err != nil || state.info.Blank {
-			continue
-		}
-		if !state.info.InitialMembership.IsVoter(g.replicaID()) {
-			return nil, true, nil
-		}
-		return state.info.InitialMembership, true, nil
-	}
-	switch {
-	case view.absent() == nil:
-		*absentSince = time.Time{}
-	case absentSince.IsZero():
-		*absentSince = time.Now()
-	default:
-		view.mayLeaveOut = g.selfRepair && time.Since(*absentSince) >= absenceTimeout
+	if founders, exists = view.existing(); exists {
+		return founders, true, nil
 	}
+	view.updateAbsence(absentSince, time.Now(), g.selfRepair)
 	coordinator, members, err := view.plan()
 	g.mu.Lock()
 	g.coordinator = coordinator
--- a/controld/foundingview.go
+++ b/controld/foundingview.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/godwithub/godwithub/consensus"
 	"github.com/godwithub/godwithub/consensus/quorum"
@@ -35,6 +36,34 @@
 	return nil
 }
 
+// existing returns the initial membership that another founder holds. exists is true if one does, and the membership is
+// nil if it does not include this replica.
+func (v *foundingView) existing() (founders consensus.Membership, exists bool) {
+	for _, f := range v.founders {
+		state, asked := v.others[f.id]
+		if !asked || state.err != nil || state.info.Blank {
+			continue
+		}
+		if !state.info.InitialMembership.IsVoter(v.selfID) {
+			return nil, true
+		}
+		return state.info.InitialMembership, true
+	}
+	return nil, false
+}
+
+// updateAbsence updates since when a founder has been out of reach, and sets mayLeaveOut.
+func (v *foundingView) updateAbsence(since *time.Time, now time.Time, selfRepair bool) {
+	switch {
+	case v.absent() == nil:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
+	default:
+		v.mayLeaveOut = selfRepair && now.Sub(*since) >= absenceTimeout
+	}
+}
+
 // plan returns the founder that is to found the group, and the initial membership if that is this one. The
 // error names what prevents the founding.
 //
--- a/controld/leave.go
+++ b/controld/leave.go
@@ -37,11 +37,11 @@
 	}
 	for {
 		status := r.Status()
-		if !status.Membership.IsVoter(status.ID) && status.MembershipCommitted {
+		if hasGivenUpVote(status.Status) {
 			return
 		}
 		err := g.requestLeave(ctx, status.ID)
-		if err == nil || status.Membership.VoterCount() <= targetVoters {
+		if err == nil || !hasSurplusVote(status.Membership) {
 			return
 		}
 		g.log.Debug("vote not given up yet", "cause", err)
@@ -119,7 +119,7 @@
 // member leads.
 func (g *Group) takeSurplusVote(ctx context.Context, id consensus.ReplicaID) error {
 	return g.changeMembers(ctx, func(c *memberChange) error {
-		if members := c.membership(); !members.IsVoter(id) || members.VoterCount() <= targetVoters {
+		if !mayGiveUpVote(c.membership(), id) {
 			return nil
 		}
 		return c.change(consensus.MemberChange{Kind: consensus.Demote, ID: id})
--- a/controld/lonefounder.go
+++ b/controld/lonefounder.go
@@ -18,11 +18,13 @@
 
 // holdsOnlyFounding reports whether a replica without a leader holds the initial membership of its group and nothing
 // that was proposed since.
-func holdsOnlyFounding(s replica.Status) bool { return s.Leader == 0 && s.Last == 1 && s.Snapshot == 1 }
+func holdsOnlyFounding(s consensus.Status) bool {
+	return s.Leader == 0 && s.Last == 1 && s.Snapshot == 1
+}
 
 // othersHaveGroup reports whether another process belongs to a group with a leader of which this replica is no member.
 // Without a leader that group may be one that cannot work, and to which this replica is of more use as it is.
-func (j *joiner) othersHaveGroup(ctx context.Context, s replica.Status) bool {
+func (j *joiner) othersHaveGroup(ctx context.Context, s consensus.Status) bool {
 	addrs := j.candidateAddrs()
 	for _, m := range s.Membership {
 		addrs = append(addrs, linkAddrOf(m.Addr))
--- a/controld/members.go
+++ b/controld/members.go
@@ -63,7 +63,7 @@
 
 // ReplaceMember implements server.MemberChanger.
 func (g *Group) ReplaceMember(ctx context.Context, id string, m control.Member) error {
-	return g.changeMembers(ctx, func(c *memberChange) error { return c.put(id, m, c.removeReplicas) })
+	return g.changeMembers(ctx, func(c *memberChange) error { return c.put(id, m, consensus.Remove) })
 }
 
 // RemoveMember implements server.MemberChanger.
@@ -71,15 +71,9 @@
 	return g.changeMembers(ctx, func(c *memberChange) error { return c.removeReplicas(id, 0) })
 }
 
-// retireFunc takes the vote of all replicas under a node id except one.
-type retireFunc func(id string, except consensus.ReplicaID) error
-
 // put adds the replica of m to the group, retires the replicas under the node id replaced, and removes
 // older ones under its own node id.
-func (c *memberChange) put(replaced string, m control.Member, retire retireFunc) error {
-	if replaced == m.ID {
-		retire = c.removeReplicas
-	}
+func (c *memberChange) put(replaced string, m control.Member, retire consensus.ChangeKind) error {
 	a := memberAddress(m)
 	if a != parseAddress(a.String()) || hostIP(m.LinkAddr) == nil || hostIP(m.APIAddr) == nil {
 		return fmt.Errorf("%w: %q is no member with addresses of the form IP:port", server.ErrMemberRefused, a)
@@ -92,70 +86,23 @@
 	case err != nil:
 		return err
 	}
-	existing, found := c.membership().Find(info.ID)
-	switch {
-	case found && existing.Voter && !m.Voter:
-		return fmt.Errorf("%w: a voter does not become a learner; remove it first", server.ErrMemberRefused)
-	case !found && !info.Blank:
-		// The disk may hold the log of another group, or of an earlier membership in this one.
-		return fmt.Errorf("%w: the data folder of %s is not blank", server.ErrMemberRefused, m.ID)
+	changes, err := planPut(c.replica.Status().Status, putRequest{replaced: replaced, retire: retire, member: m, info: info})
+	if err != nil {
+		return err
 	}
-	// The group tolerates the loss of a second voter best if a dead replica is retired before its
-	// replacement is added, and a running one only afterwards; see TestSecondLossDuringReplacement in
-	// package consensus.
-	beforeCatchUp := c.anySilent(replaced, info.ID)
-	if beforeCatchUp {
-		if err := retire(replaced, info.ID); err != nil {
+	for _, change := range changes {
+		if err := c.change(change); err != nil {
 			return err
 		}
 	}
-	if err := c.add(info.ID, a, m.Voter, beforeCatchUp); err != nil {
-		return err
-	}
-	if err := c.removeReplicas(m.ID, info.ID); err != nil {
-		return err
-	}
-	return retire(replaced, info.ID)
+	return nil
 }
 
 func (c *memberChange) membership() consensus.Membership { return c.replica.Status().Membership }
 
-// replicasOf returns the replicas under a node id, except other.
-func (c *memberChange) replicasOf(id string, other consensus.ReplicaID) []consensus.ReplicaID {
-	var out []consensus.ReplicaID
-	for _, m := range c.membership() {
-		if m.ID != other && parseAddress(m.Addr).id == id {
-			out = append(out, m.ID)
-		}
-	}
-	return out
-}
-
-// anySilent reports whether a replica under a node id, except other and the local one, has not been
-// heard from within an election timeout.
-func (c *memberChange) anySilent(id string, other consensus.ReplicaID) bool {
-	heard := c.replica.Status().Heard
-	return slices.ContainsFunc(c.replicasOf(id, other), func(r consensus.ReplicaID) bool {
-		return r != c.replicaID() && !heard[r]
-	})
-}
-
-// add adds a replica as a learner, or updates its address, and promotes it if voter is set. If
-// beforeCatchUp is set, the promotion does not wait until the learner has caught up.
-func (c *memberChange) add(id consensus.ReplicaID, a address, voter, beforeCatchUp bool) error {
-	err := c.change(consensus.MemberChange{Kind: consensus.AddLearner, ID: id, Addr: a.String()})
-	if err != nil {
-		return err
-	}
-	if err := c.change(consensus.MemberChange{Kind: consensus.SetAddr, ID: id, Addr: a.String()}); err != nil || !voter {
-		return err
-	}
-	return c.change(consensus.MemberChange{Kind: consensus.Promote, ID: id, BeforeCatchUp: beforeCatchUp})
-}
-
 // removeReplicas removes all replicas under a node id except one.
 func (c *memberChange) removeReplicas(id string, except consensus.ReplicaID) error {
-	for _, r := range c.replicasOf(id, except) {
+	for _, r := range replicasOf(c.membership(), id, except) {
 		if err := c.change(consensus.MemberChange{Kind: consensus.Remove, ID: r}); err != nil {
 			return err
 		}
@@ -163,17 +110,6 @@
 	return nil
 }
 
-// demoteReplicas turns all voters under a node id except one into learners. They get their votes back
-// when they ask for them.
-func (c *memberChange) demoteReplicas(id string, except consensus.ReplicaID) error {
-	for _, r := range c.replicasOf(id, except) {
-		if err := c.change(consensus.MemberChange{Kind: consensus.Demote, ID: r}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (c *memberChange) change(change consensus.MemberChange) error {
 	err := c.replica.ChangeMembership(c.ctx, change)
 	if errors.Is(err, consensus.ErrBadChange) {
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -197,25 +197,21 @@
 }
 
 // handleConsensus accepts consensus messages from control processes only, since the link is open to all
-// processes of the fleet. The membership that this replica knows does not decide: it may be older than that of
-// the sender, which is the only one that can bring it up to date. The core needs no such check, since it drops messages to
-// other replicas and does not trust the sender's membership.
+// processes of the fleet.
 func (g *Group) handleConsensus(ctx context.Context, s link.Stream, first link.Frame) {
-	if !s.PeerHasRole(string(keys.RoleControl)) {
-		g.log.Warn("consensus stream refused: the peer is not a control process", "peer", s.PeerName())
+	name := s.PeerName()
+	switch classifyPeer(g.Members(), name, s.PeerHasRole(string(keys.RoleControl))) {
+	case peerRefused:
+		g.log.Warn("consensus stream refused: the peer is not a control process", "peer", name)
 		s.Reset()
 		return
-	}
-	if name := s.PeerName(); !g.knowsMember(name) {
+	case peerUnknown:
 		g.log.Info("consensus stream from a process that is not a member in the membership of this replica", "peer", name)
+	case peerMember:
 	}
 	g.transport.Handle(ctx, s, first)
 }
 
-func (g *Group) knowsMember(name string) bool {
-	return slices.ContainsFunc(g.Members(), func(m control.Member) bool { return m.ID == name })
-}
-
 func (g *Group) closeDone() { g.doneOnce.Do(func() { close(g.done) }) }
 
 // Done implements Replication.
--- a/controld/silence.go
+++ b/controld/silence.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/godwithub/godwithub/consensus"
-	"github.com/godwithub/godwithub/consensus/replica"
 )
 
 const (
@@ -31,7 +30,7 @@
 }
 
 // update records which members are silent now, and returns since when they are.
-func (s *silentMembers) update(status replica.Status, now time.Time) map[consensus.ReplicaID]time.Time {
+func (s *silentMembers) update(status consensus.Status, now time.Time) map[consensus.ReplicaID]time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := map[consensus.ReplicaID]time.Time{}
