--- a/consensus/core.go
+++ b/consensus/core.go
@@ -78,9 +78,10 @@
 
 // Core is the consensus state machine of one replica. It is not safe for concurrent use.
 type Core struct {
-	cfg  Config
-	rand *rand.Rand
-	log  *log
+	cfg    Config
+	source *rand.PCG // of rand
+	rand   *rand.Rand
+	log    *log
 
 	hardState       HardState
 	storedHardState HardState
@@ -119,9 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
+	source := rand.NewPCG(cfg.Seed, uint64(cfg.ID))
 	c := &Core{
 		cfg:             cfg,
-		rand:            rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))),
+		source:          source,
+		rand:            rand.New(source),
 		log:             l,
 		hardState:       s.Hard,
 		storedHardState: s.Hard,
--- a/consensus/tracker/tracker.go
+++ b/consensus/tracker/tracker.go
@@ -2,6 +2,8 @@
 // to the peer before it receives a reply.
 package tracker
 
+import "slices"
+
 // State determines how the leader sends to a peer.
 type State uint8
 
@@ -146,3 +148,10 @@
 	p.probeInFlight = false
 	p.stalledReplies = 0
 }
+
+// Clone returns an independent copy.
+func (p *Progress) Clone() *Progress {
+	out := *p
+	out.inFlight = slices.Clone(p.inFlight)
+	return &out
+}
