--- a/controld/autojoin_test.go
+++ b/controld/autojoin_test.go
@@ -45,6 +45,22 @@
 	assert.Equal(t, memberToReplace("new", five, since), "new")
 }
 
+// Guards against a learner that returns and gets a sixth vote while a voter is dead: if it is lost again, three
+// of six voters are left, although only two of five machines are lost.
+func TestReturningLearnerTakesVoteOfSilentVoter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var silent silentMembers
+	members := testVoters("a", "b", "c", "d", "e", "back")
+	members[5].Voter = false
+	since := silent.update(statusOf(members, 2, 3, 4, 6), now)
+	assert.Equal(t, memberToReplace("back", members, since), "e")
+	since = silent.update(statusOf(members, 2, 3, 4, 5, 6), now)
+	assert.Equal(t, memberToReplace("back", members, since), "back", "no voter is silent")
+	members[0].Voter = false
+	since = silent.update(statusOf(members, 2, 3, 4, 6), now)
+	assert.Equal(t, memberToReplace("back", members, since), "back", "the group has only four voters")
+}
+
 // Guards against dead surplus voters that keep their vote, and against a group that takes votes when it
 // has no more than targetVoters voters.
 func TestSilentSurplusVoterIsDemoted(t *testing.T) {
--- a/controld/silence.go
+++ b/controld/silence.go
@@ -67,11 +67,12 @@
 }
 
 // memberToReplace returns the id of the member that a joining member replaces: the voter that has been
-// silent longest if the group has targetVoters voters and the joining id is not a member, and the
-// joining id itself otherwise.
+// silent longest if the group has targetVoters voters and the joining id is not that of a voter, and the
+// joining id itself otherwise. A learner that returns gets no sixth vote beside a silent voter: if it were lost again
+// together with one more, three of six voters would be left, which are no quorum.
 func memberToReplace(id string, members consensus.Membership, silentSince map[consensus.ReplicaID]time.Time) string {
 	for _, m := range members {
-		if parseAddress(m.Addr).id == id {
+		if m.Voter && parseAddress(m.Addr).id == id {
 			return id
 		}
 	}
