--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -138,6 +138,9 @@
 	if leads, reply := leadsJoin(status.Status, status.LeaderAddr); !leads {
 		return reply
 	}
+	if voter, undecided := undecidedVoter(status.Status, m.ID); undecided {
+		return joinReply{Fault: fmt.Sprintf("the leader does not know yet whether %s is lost", voter)}
+	}
 	replaced := memberToReplace(m.ID, status.Membership, j.silent.update(status.Status, time.Now()))
 	j.log.Info("member joins", "member", m.ID, "replaces", replaced)
 	// The replaced voter may only be cut off, so it stays a member.
--- a/controld/silence.go
+++ b/controld/silence.go
@@ -83,6 +83,25 @@
 	return id
 }
 
+// undecidedVoter returns the id of a voter from which a new leader has neither heard nor waited for an election
+// timeout, so that it is not known whether a process that asks for a vote has to replace it. ok is false if there is
+// none, or if the vote would not be a surplus one.
+func undecidedVoter(s consensus.Status, id string) (voter string, ok bool) {
+	if s.Membership.VoterCount() < targetVoters {
+		return "", false
+	}
+	for _, m := range s.Membership {
+		switch name := parseAddress(m.Addr).id; {
+		case !m.Voter:
+		case name == id:
+			return "", false
+		case m.ID != s.ID && s.Match[m.ID] == 0 && s.Heard[m.ID]:
+			voter, ok = name, true
+		}
+	}
+	return voter, ok
+}
+
 // changeForSilence returns the membership change that the silence of members calls for, if any: a
 // silent voter beyond targetVoters loses its vote, and a learner that has been silent for long is
 // removed.
