--- a/consensus/core.go
+++ b/consensus/core.go
@@ -293,6 +293,10 @@
 	// Heard tells for each peer whether it replied within the last election timeout. Set on the
 	// leader only.
 	Heard map[ReplicaID]bool
+	// Now is the number of ticks since the replica's start.
+	Now uint64
+	// HeardAt is the tick of each peer's last reply, or that of the election if there is none yet. Set on the leader only.
+	HeardAt map[ReplicaID]uint64
 }
 
 // Status returns the current state.
@@ -301,14 +305,16 @@
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.hardState.Term, Leader: c.leader,
 		Commit: c.log.commit, Last: c.log.lastIndex(), LastTerm: c.log.lastTerm(), Snapshot: c.log.snapshot.Index,
-		Membership: ms, MembershipCommitted: index <= c.log.commit,
+		Membership: ms, MembershipCommitted: index <= c.log.commit, Now: c.now,
 	}
 	if c.role == Leader {
 		s.Match = make(map[ReplicaID]uint64, len(c.peers))
 		s.Heard = make(map[ReplicaID]bool, len(c.peers))
+		s.HeardAt = make(map[ReplicaID]uint64, len(c.peers))
 		for id, p := range c.peers {
 			s.Match[id] = p.Match
 			s.Heard[id] = c.heardRecently(p)
+			s.HeardAt[id] = p.Heard
 		}
 	}
 	return s
--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -20,6 +20,8 @@
 	// joinTimeout bounds one join request, in which the leader adds the replica, waits until it has
 	// caught up, and promotes it. It also bounds a change for a silent member.
 	joinTimeout = 5 * time.Second
+	// voterCheckInterval is the time between checks whether all voters have replied since a request to join.
+	voterCheckInterval = 50 * time.Millisecond
 	// silenceCheckInterval is the time between checks for silent members.
 	silenceCheckInterval = 250 * time.Millisecond
 )
@@ -135,11 +137,17 @@
 		return joinReply{Fault: "the group is not founded yet"}
 	}
 	status := r.Status()
-	if leads, reply := leadsJoin(status.Status, status.LeaderAddr); !leads {
-		return reply
-	}
-	if voter, undecided := undecidedVoter(status.Status, m.ID); undecided {
-		return joinReply{Fault: fmt.Sprintf("the leader does not know yet whether %s is lost", voter)}
+	for asked := status.Now; ; status = r.Status() {
+		if leads, reply := leadsJoin(status.Status, status.LeaderAddr); !leads {
+			return reply
+		}
+		voter, undecided := undecidedVoter(status.Status, m.ID, asked)
+		if !undecided {
+			break
+		}
+		if !sleep(ctx, voterCheckInterval) {
+			return joinReply{Fault: fmt.Sprintf("the leader does not know yet whether %s is lost", voter)}
+		}
 	}
 	replaced := memberToReplace(m.ID, status.Membership, j.silent.update(status.Status, time.Now()))
 	j.log.Info("member joins", "member", m.ID, "replaces", replaced)
--- a/controld/autojoin_test.go
+++ b/controld/autojoin_test.go
@@ -61,26 +61,25 @@
 	assert.Equal(t, memberToReplace("back", members, since), "back", "the group has only four voters")
 }
 
-// Guards against a new leader that gives a sixth vote beside a voter that was lost before its election, and of which it
-// does not know yet whether it is silent.
-func TestNewLeaderWaitsForVotersBeforeSixthVote(t *testing.T) {
+// Guards against a sixth vote beside a voter that was lost just before, so that the leader does not know yet that it is
+// silent: by its last reply before the request, or as the leader is new.
+func TestSixthVoteWaitsForRepliesOfVoters(t *testing.T) {
 	members := testVoters("a", "b", "c", "d", "e", "back")
 	members[5].Voter = false
 	s := statusOf(members, 2, 3, 4, 5, 6)
-	s.Match = map[consensus.ReplicaID]uint64{2: 7, 3: 7, 4: 7, 5: 0, 6: 7}
-	voter, undecided := undecidedVoter(s, "back")
+	s.HeardAt = map[consensus.ReplicaID]uint64{2: 8, 3: 8, 4: 8, 5: 7, 6: 8}
+	voter, undecided := undecidedVoter(s, "back", 7)
 	assert.Assert(t, undecided)
 	assert.Equal(t, voter, "e")
-	_, undecided = undecidedVoter(s, "b")
+	_, undecided = undecidedVoter(s, "b", 7)
 	assert.Assert(t, !undecided, "it has a vote already")
-	s.Match[5] = 7
-	_, undecided = undecidedVoter(s, "back")
+	_, undecided = undecidedVoter(s, "back", 6)
 	assert.Assert(t, !undecided)
-	s.Match[5], s.Heard[5] = 0, false
-	_, undecided = undecidedVoter(s, "back")
+	s.Heard[5] = false
+	_, undecided = undecidedVoter(s, "back", 7)
 	assert.Assert(t, !undecided, "the voter is silent, and is replaced")
 	s.Heard[5], s.Membership[0].Voter = true, false
-	_, undecided = undecidedVoter(s, "back")
+	_, undecided = undecidedVoter(s, "back", 7)
 	assert.Assert(t, !undecided, "the group has only four voters")
 }
 
--- a/controld/silence.go
+++ b/controld/silence.go
@@ -83,10 +83,10 @@
 	return id
 }
 
-// undecidedVoter returns the id of a voter from which a new leader has neither heard nor waited for an election
-// timeout, so that it is not known whether a process that asks for a vote has to replace it. ok is false if there is
-// none, or if the vote would not be a surplus one.
-func undecidedVoter(s consensus.Status, id string) (voter string, ok bool) {
+// undecidedVoter returns the id of a voter of which the leader does not know whether a process that asks for a vote has to
+// replace it: it is not silent for an election timeout, and has not replied after the tick asked, at which the request came. ok is
+// false if there is none, or if the vote would not be a surplus one.
+func undecidedVoter(s consensus.Status, id string, asked uint64) (voter string, ok bool) {
 	if s.Membership.VoterCount() < targetVoters {
 		return "", false
 	}
@@ -95,7 +95,7 @@
 		case !m.Voter:
 		case name == id:
 			return "", false
-		case m.ID != s.ID && s.Match[m.ID] == 0 && s.Heard[m.ID]:
+		case m.ID != s.ID && s.Heard[m.ID] && s.HeardAt[m.ID] <= asked:
 			voter, ok = name, true
 		}
 	}
