--- a/controld/autojoin_test.go
+++ b/controld/autojoin_test.go
@@ -7,7 +7,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/godwithub/godwithub/consensus"
-	"github.com/godwithub/godwithub/consensus/replica"
 )
 
 func testVoters(ids ...string) consensus.Membership {
@@ -20,8 +19,8 @@
 }
 
 // statusOf returns the status of member 1 as the leader of members, of which it hears those in heard.
-func statusOf(members consensus.Membership, heard ...consensus.ReplicaID) replica.Status {
-	s := replica.Status{Status: consensus.Status{ID: 1, Membership: members, Heard: map[consensus.ReplicaID]bool{}}}
+func statusOf(members consensus.Membership, heard ...consensus.ReplicaID) consensus.Status {
+	s := consensus.Status{ID: 1, Membership: members, Heard: map[consensus.ReplicaID]bool{}}
 	for _, id := range heard {
 		s.Heard[id] = true
 	}
@@ -46,6 +45,44 @@
 	assert.Equal(t, memberToReplace("new", five, since), "new")
 }
 
+// Guards against a learner that returns and gets a sixth vote while a voter is dead: if it is lost again, three
+// of six voters are left, although only two of five machines are lost.
+func TestReturningLearnerTakesVoteOfSilentVoter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var silent silentMembers
+	members := testVoters("a", "b", "c", "d", "e", "back")
+	members[5].Voter = false
+	since := silent.update(statusOf(members, 2, 3, 4, 6), now)
+	assert.Equal(t, memberToReplace("back", members, since), "e")
+	since = silent.update(statusOf(members, 2, 3, 4, 5, 6), now)
+	assert.Equal(t, memberToReplace("back", members, since), "back", "no voter is silent")
+	members[0].Voter = false
+	since = silent.update(statusOf(members, 2, 3, 4, 6), now)
+	assert.Equal(t, memberToReplace("back", members, since), "back", "the group has only four voters")
+}
+
+// Guards against a sixth vote beside a voter that was lost just before, so that the leader does not know yet that it is
+// silent: by its last reply before the request, or as the leader is new.
+func TestSixthVoteWaitsForRepliesOfVoters(t *testing.T) {
+	members := testVoters("a", "b", "c", "d", "e", "back")
+	members[5].Voter = false
+	s := statusOf(members, 2, 3, 4, 5, 6)
+	s.HeardAt = map[consensus.ReplicaID]uint64{2: 8, 3: 8, 4: 8, 5: 7, 6: 8}
+	voter, undecided := undecidedVoter(s, "back", 7)
+	assert.Assert(t, undecided)
+	assert.Equal(t, voter, "e")
+	_, undecided = undecidedVoter(s, "b", 7)
+	assert.Assert(t, !undecided, "it has a vote already")
+	_, undecided = undecidedVoter(s, "back", 6)
+	assert.Assert(t, !undecided)
+	s.Heard[5] = false
+	_, undecided = undecidedVoter(s, "back", 7)
+	assert.Assert(t, !undecided, "the voter is silent, and is replaced")
+	s.Heard[5], s.Membership[0].Voter = true, false
+	_, undecided = undecidedVoter(s, "back", 7)
+	assert.Assert(t, !undecided, "the group has only four voters")
+}
+
 // Guards against dead surplus voters that keep their vote, and against a group that takes votes when it
 // has no more than targetVoters voters.
 func TestSilentSurplusVoterIsDemoted(t *testing.T) {
--- a/controld/silence.go
+++ b/controld/silence.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/godwithub/godwithub/consensus"
-	"github.com/godwithub/godwithub/consensus/replica"
 )
 
 const (
@@ -31,7 +30,7 @@
 }
 
 // update records which members are silent now, and returns since when they are.
-func (s *silentMembers) update(status replica.Status, now time.Time) map[consensus.ReplicaID]time.Time {
+func (s *silentMembers) update(status consensus.Status, now time.Time) map[consensus.ReplicaID]time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := map[consensus.ReplicaID]time.Time{}
@@ -68,11 +67,12 @@
 }
 
 // memberToReplace returns the id of the member that a joining member replaces: the voter that has been
-// silent longest if the group has targetVoters voters and the joining id is not a member, and the
-// joining id itself otherwise.
+// silent longest if the group has targetVoters voters and the joining id is not that of a voter, and the
+// joining id itself otherwise. A learner that returns gets no sixth vote beside a silent voter: if it were lost again
+// together with one more, three of six voters would be left, which are no quorum.
 func memberToReplace(id string, members consensus.Membership, silentSince map[consensus.ReplicaID]time.Time) string {
 	for _, m := range members {
-		if parseAddress(m.Addr).id == id {
+		if m.Voter && parseAddress(m.Addr).id == id {
 			return id
 		}
 	}
@@ -83,6 +83,25 @@
 	return id
 }
 
+// undecidedVoter returns the id of a voter of which the leader does not know whether a process that asks for a vote has to
+// replace it: it is not silent for an election timeout, and has not replied after the tick asked, at which the request came. ok is
+// false if there is none, or if the vote would not be a surplus one.
+func undecidedVoter(s consensus.Status, id string, asked uint64) (voter string, ok bool) {
+	if s.Membership.VoterCount() < targetVoters {
+		return "", false
+	}
+	for _, m := range s.Membership {
+		switch name := parseAddress(m.Addr).id; {
+		case !m.Voter:
+		case name == id:
+			return "", false
+		case m.ID != s.ID && s.Heard[m.ID] && s.HeardAt[m.ID] <= asked:
+			voter, ok = name, true
+		}
+	}
+	return voter, ok
+}
+
 // changeForSilence returns the membership change that the silence of members calls for, if any: a
 // silent voter beyond targetVoters loses its vote, and a learner that has been silent for long is
 // removed.
