--- a/consensus/disk/disk.go
+++ b/consensus/disk/disk.go
@@ -26,6 +26,8 @@
 	FileName = "consensus.db"
 	// formatVersion is the version of the file's layout.
 	formatVersion = 1
+	// initializeTx is the id of the first transaction of a file, which initializes it.
+	initializeTx = 2
 	// lockTimeout is the timeout for locking the file, which allows for another process that is just
 	// stopping.
 	lockTimeout = 500 * time.Millisecond
@@ -64,8 +66,11 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, fmt.Errorf("disk: %w", err)
 	}
+	if err := createIfMissing(folder); err != nil {
+		return nil, err
+	}
 	path := filepath.Join(folder, FileName)
-	db, err := openFile(path)
+	db, err := openFile(path, openExisting)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +86,10 @@
 	return s, nil
 }
 
-func openFile(path string) (db *bbolt.DB, err error) {
+// openFunc opens the file of a bbolt database.
+type openFunc = func(name string, flag int, mode os.FileMode) (*os.File, error)
+
+func openFile(path string, open openFunc) (db *bbolt.DB, err error) {
 	// Reading the missing pages of a truncated file causes a memory fault.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer recoverDamage(&err)
@@ -90,8 +98,11 @@
 	db, err = bbolt.Open(path, fileMode, &bbolt.Options{
 		Timeout:      lockTimeout,
 		FreelistType: bbolt.FreelistMapType,
+		OpenFile:     open,
 	})
 	switch {
+	case errors.Is(err, errStoreExists):
+		return nil, err
 	case errors.Is(err, bolterrors.ErrTimeout):
 		return nil, fmt.Errorf("%w: %s", ErrInUse, path)
 	case isSystemError(err):
@@ -119,12 +130,13 @@
 }
 
 // checkOrInitialize checks the structure of the file and reads the replica id. It initializes a blank
-// file.
+// file, which an earlier version may have left. Before anything is saved, it makes the file's name durable.
 func (s *Store) checkOrInitialize(folder string) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer recoverDamage(&err)
-	blank := false
+	blank, unused := false, false
 	err = s.db.View(func(tx *bbolt.Tx) error {
+		unused = tx.ID() <= initializeTx
 		if err := checkStructure(tx); err != nil {
 			return err
 		}
@@ -135,11 +147,13 @@
 		}
 		return s.readIdentity(meta)
 	})
-	if err != nil || !blank {
+	if err != nil || !unused {
 		return err
 	}
-	if err := s.db.Update(s.initialize); err != nil {
-		return fmt.Errorf("disk: %w", err)
+	if blank {
+		if err := s.db.Update(s.initialize); err != nil {
+			return fmt.Errorf("disk: %w", err)
+		}
 	}
 	return SyncFolder(folder)
 }
--- a/consensus/disk/disk_test.go
+++ b/consensus/disk/disk_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -192,3 +194,28 @@
 	}
 	assert.NilError(t, s.Close())
 }
+
+// Guards against two processes that start at the same time in a blank folder, and of which one replaces the store that the
+// other one uses already.
+func TestOneOfManyCreatesTheStore(t *testing.T) {
+	for range 10 {
+		folder := t.TempDir()
+		var opening sync.WaitGroup
+		stores := make([]*Store, 8)
+		for i := range stores {
+			opening.Go(func() {
+				s, err := Open(folder)
+				assert.Check(t, err == nil || errors.Is(err, ErrInUse), "%v", err)
+				stores[i] = s
+			})
+		}
+		opening.Wait()
+		opened := slices.DeleteFunc(stores, func(s *Store) bool { return s == nil })
+		assert.Assert(t, len(opened) <= 1)
+		for _, s := range opened {
+			assert.NilError(t, s.Close())
+			assert.Equal(t, reload(t, folder).ID, s.ID())
+		}
+		assert.NilError(t, open(t, folder).Close())
+	}
+}
