--- a/consensus/disk/create.go
+++ b/consensus/disk/create.go
@@ -26,7 +26,7 @@
 		return err
 	}
 	newPath := filepath.Join(folder, newFileName)
-	db, err := openFile(newPath, func(name string, flag int, mode os.FileMode) (*os.File, error) {
+	s, err := openFile(newPath, func(name string, flag int, mode os.FileMode) (*os.File, error) {
 		return openNew(name, flag, mode, path)
 	})
 	if errors.Is(err, errStoreExists) {
@@ -35,12 +35,11 @@
 	if err != nil {
 		return err
 	}
-	s := &Store{db: db}
-	err = db.Update(s.initialize)
+	err = s.update(s.initialize)
 	if err == nil {
 		err = os.Rename(newPath, path)
 	}
-	if err := errors.Join(err, db.Close()); err != nil {
+	if err := errors.Join(err, s.db.Close()); err != nil {
 		return fmt.Errorf("disk: create %s: %w", path, err)
 	}
 	return nil
--- a/consensus/disk/disk.go
+++ b/consensus/disk/disk.go
@@ -55,8 +55,9 @@
 
 // Store implements consensus.Store.
 type Store struct {
-	db *bbolt.DB
-	id consensus.ReplicaID
+	db   *bbolt.DB
+	file *os.File // of db
+	id   consensus.ReplicaID
 }
 
 // Open opens the store in folder and checks the structure of the whole file. If the folder has no
@@ -69,18 +70,26 @@
 	if err := createIfMissing(folder); err != nil {
 		return nil, err
 	}
+	s, err := openStore(folder)
+	if errors.Is(err, errRepaired) {
+		return openStore(folder)
+	}
+	return s, err
+}
+
+// openStore opens the store in a folder that has one, and checks it.
+func openStore(folder string) (*Store, error) {
 	path := filepath.Join(folder, FileName)
-	db, err := openFile(path, openExisting)
+	s, err := openFile(path, openExisting)
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{db: db}
-	err = checkMeta(path)
+	err = s.checkMeta()
 	if err == nil {
 		err = s.checkOrInitialize(folder)
 	}
 	if err != nil {
-		db.Close()
+		s.db.Close()
 		return nil, fmt.Errorf("%w (%s)", err, path)
 	}
 	return s, nil
@@ -89,16 +98,20 @@
 // openFunc opens the file of a bbolt database.
 type openFunc = func(name string, flag int, mode os.FileMode) (*os.File, error)
 
-func openFile(path string, open openFunc) (db *bbolt.DB, err error) {
+func openFile(path string, open openFunc) (s *Store, err error) {
 	// Reading the missing pages of a truncated file causes a memory fault.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer recoverDamage(&err)
 	// The free list is stored. Without it, bbolt would walk the file in a goroutine of its own, where
 	// a damaged page would crash the process.
-	db, err = bbolt.Open(path, fileMode, &bbolt.Options{
+	s = &Store{}
+	s.db, err = bbolt.Open(path, fileMode, &bbolt.Options{
 		Timeout:      lockTimeout,
 		FreelistType: bbolt.FreelistMapType,
-		OpenFile:     open,
+		OpenFile: func(name string, flag int, mode os.FileMode) (_ *os.File, err error) {
+			s.file, err = open(name, flag, mode)
+			return s.file, err
+		},
 	})
 	switch {
 	case errors.Is(err, errStoreExists):
@@ -110,7 +123,7 @@
 	case err != nil:
 		return nil, fmt.Errorf("%w: %s: %w", ErrDamaged, path, err)
 	}
-	return db, nil
+	return s, nil
 }
 
 // isSystemError reports whether err comes from the operating system, as opposed to an error that
@@ -132,14 +145,9 @@
 // checkOrInitialize checks the structure of the file and reads the replica id. It initializes a blank
 // file, which an earlier version may have left. Before anything is saved, it makes the file's name durable.
 func (s *Store) checkOrInitialize(folder string) (err error) {
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
-	defer recoverDamage(&err)
 	blank, unused := false, false
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.viewChecked(func(tx *bbolt.Tx) error {
 		unused = tx.ID() <= initializeTx
-		if err := checkStructure(tx); err != nil {
-			return err
-		}
 		meta := tx.Bucket(metaBucket)
 		blank = meta == nil
 		if blank {
@@ -151,13 +159,25 @@
 		return err
 	}
 	if blank {
-		if err := s.db.Update(s.initialize); err != nil {
+		if err := s.update(s.initialize); err != nil {
 			return fmt.Errorf("disk: %w", err)
 		}
 	}
 	return SyncFolder(folder)
 }
 
+// viewChecked checks the structure of the file and calls view in the same transaction.
+func (s *Store) viewChecked(view func(*bbolt.Tx) error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer recoverDamage(&err)
+	return s.db.View(func(tx *bbolt.Tx) error {
+		if err := checkStructure(tx); err != nil {
+			return err
+		}
+		return view(tx)
+	})
+}
+
 // readSink keeps the compiler from removing the reads of readEnds.
 var readSink atomic.Uint32
 
@@ -250,7 +270,7 @@
 // SaveFounders stores the founders of the group that the replica is meant to found together with others, as
 // it was told at its first start.
 func (s *Store) SaveFounders(founders []string) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error { return putRecord(tx.Bucket(metaBucket), foundersKey, founders) })
+	err := s.update(func(tx *bbolt.Tx) error { return putRecord(tx.Bucket(metaBucket), foundersKey, founders) })
 	if err != nil {
 		return fmt.Errorf("disk: save founders: %w", err)
 	}
@@ -261,7 +281,7 @@
 // uses the store.
 func (s *Store) Discard() error {
 	id := newReplicaID()
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		if err := tx.DeleteBucket(logBucket); err != nil {
 			return err
 		}
@@ -313,7 +333,7 @@
 
 // Save implements consensus.Store.
 func (s *Store) Save(b consensus.Batch) error {
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.update(func(tx *bbolt.Tx) error {
 		meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
 		if b.Hard != nil {
 			if err := putRecord(meta, hardKey, *b.Hard); err != nil {
