--- a/consensus/disk/full_linux_test.go
+++ b/consensus/disk/full_linux_test.go
@@ -77,3 +77,28 @@
 	assert.NilError(t, s.Close())
 	assert.DeepEqual(t, reload(t, folder), want)
 }
+
+// Guards against a discarded store that keeps a part of its log, or its id, because its disk refused the writes.
+func TestRefusedDiscardIsRetried(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, folder)
+	old := s.ID()
+	assert.NilError(t, s.Save(consensus.Batch{Hard: &consensus.HardState{Term: 3, Vote: 1}, Entries: []consensus.Entry{{Index: 1, Term: 3}}}))
+	want, err := s.Load()
+	assert.NilError(t, err)
+	allow := refuseWrites(t, filepath.Join(folder, FileName))
+	for range 3 {
+		assert.Assert(t, s.Discard() != nil)
+		assert.Equal(t, s.ID(), old)
+		got, err := s.Load()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+	}
+	allow()
+	assert.NilError(t, s.Discard())
+	assert.Assert(t, s.ID() != old)
+	id := s.ID()
+	assert.NilError(t, s.Close())
+	stored := reload(t, folder)
+	assert.Assert(t, stored.Blank() && stored.ID == id)
+}
--- a/controld/autojoin.go
+++ b/controld/autojoin.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/godwithub/godwithub/consensus/replica"
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/link"
 	"github.com/godwithub/godwithub/wire"
@@ -32,6 +33,8 @@
 	Leader string `cbor:"2,keyasint,omitempty"`
 	// Fault is the reason why the member was not added.
 	Fault string `cbor:"3,keyasint,omitempty"`
+	// Excluded is set if the member was not added because it holds a log, but is no member.
+	Excluded *exclusion `cbor:"4,keyasint,omitempty"`
 }
 
 // joiner asks the group to add this member while it is not a voter. While this member leads, it
@@ -44,23 +47,36 @@
 	candidateAddrs func() []string
 }
 
-// run sends join requests while this replica is not a voter, until ctx ends. A replica that is a voter only in a founding
-// of its own gives that up first, if the others have founded a group without it. An error is logged when it differs
-// from the last one.
+// run sends join requests while this replica is not a voter, or may no longer be one, until ctx ends. A replica that is a voter
+// only in a founding of its own gives that up first, if the others have founded a group without it, and so does one that the
+// leader has excluded. An error is logged when it differs from the last one.
 func (j *joiner) run(ctx context.Context) {
-	lastLogged := ""
+	lastLogged, leaderAt := "", time.Now()
 	for sleep(ctx, joinInterval) {
 		r := j.replica.Load()
 		if r == nil || j.leaving.Load() {
 			continue
 		}
-		if status := r.Status(); status.Membership.IsVoter(status.ID) {
+		status := r.Status()
+		if status.Leader != 0 {
+			leaderAt = time.Now()
+		}
+		if status.Membership.IsVoter(status.ID) {
 			if holdsOnlyFounding(status) && j.othersHaveGroup(ctx, status) {
-				j.discardFounding(r)
+				j.discardReplica(ctx, r, "the others have founded a group without this replica")
+				continue
+			}
+			if !j.mayBeExcluded(ctx, status, time.Since(leaderAt)) {
+				continue
 			}
+		}
+		err := j.requestJoin(ctx, r)
+		var excluded *excludedError
+		if errors.As(err, &excluded) {
+			j.discardReplica(ctx, r, err.Error())
 			continue
 		}
-		if err := j.requestJoin(ctx); err != nil && err.Error() != lastLogged {
+		if err != nil && err.Error() != lastLogged {
 			lastLogged = err.Error()
 			j.log.Info("this replica could not join the group yet", "cause", lastLogged)
 		}
@@ -68,7 +84,8 @@
 }
 
 // requestJoin asks each candidate in turn, followed by any leader that a candidate names.
-func (j *joiner) requestJoin(ctx context.Context) error {
+// It returns an excludedError if this replica may give up its log.
+func (j *joiner) requestJoin(ctx context.Context, r *replica.Replica) error {
 	lastErr := errors.New("no other control process is known")
 	addrs := j.candidateAddrs()
 	if leader, ok := j.LeaderLink(); ok {
@@ -88,6 +105,8 @@
 			return nil
 		case reply.Leader != "" && !slices.Contains(addrs, reply.Leader):
 			addrs = append(addrs, reply.Leader)
+		case reply.Excluded.appliesTo(r.Status()):
+			return &excludedError{addrs[i]}
 		case reply.Fault != "":
 			lastErr = fmt.Errorf("%s: %s", addrs[i], reply.Fault)
 		}
@@ -146,7 +165,12 @@
 	err := j.changeMembers(ctx, func(c *memberChange) error { return c.put(replaced, m, c.demoteReplicas) })
 	if err != nil {
 		j.log.Warn("member not added to the group", "member", m.ID, "fault", err)
-		return joinReply{Fault: err.Error()}
+		reply := joinReply{Fault: err.Error()}
+		var notBlank *notBlankError
+		if errors.As(err, &notBlank) {
+			reply.Excluded = notBlank.exclusion
+		}
+		return reply
 	}
 	return joinReply{Done: true}
 }
--- a/controld/lonefounder.go
+++ b/controld/lonefounder.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/godwithub/godwithub/consensus"
 	"github.com/godwithub/godwithub/consensus/disk"
 	"github.com/godwithub/godwithub/consensus/replica"
 )
 
+// discardRetryInterval is the time between two tries to discard a store while its disk refuses writes.
+const discardRetryInterval = 250 * time.Millisecond
+
 // A founder that ends just after it has founded the group, and before another one has learned of that, is taken for absent:
 // the others found a group without it. What it holds then never had an effect, and it would neither ask to join that
 // group nor be added to it, as it believes that it is a voter of a group of its own.
@@ -51,19 +55,19 @@
 	return isMember && !includesID
 }
 
-// discardFounding replaces the replica by a blank one with a new id, which then asks to join. If the process ends before
-// the store has committed that, it starts with the founding again. An error ends the replication.
-func (g *Group) discardFounding(r *replica.Replica) {
-	g.log.Info("the others have founded a group without this replica, which joins it anew", "replica", r.Status().ID.String())
+// discardReplica replaces the replica by a blank one with a new id, which then asks to join. If the process ends before
+// the store has committed that, it starts with what it held again. An error ends the replication.
+func (g *Group) discardReplica(ctx context.Context, r *replica.Replica, cause string) {
+	g.log.Info("replica is replaced by a blank one, which joins the group anew", "replica", r.Status().ID.String(), "cause", cause)
 	g.replica.Store(nil)
 	g.transport.Unregister(groupName)
-	if err := g.restartBlank(r); err != nil {
-		g.log.Error("founding not discarded", "fault", err)
+	if err := g.restartBlank(ctx, r); err != nil {
+		g.log.Error("replica not replaced", "fault", err)
 		g.closeDone()
 	}
 }
 
-func (g *Group) restartBlank(r *replica.Replica) error {
+func (g *Group) restartBlank(ctx context.Context, r *replica.Replica) error {
 	if err := r.Stop(); err != nil {
 		return err
 	}
@@ -71,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if err := store.Discard(); err != nil {
+	if err := g.discardStore(ctx, store); err != nil {
 		return errors.Join(err, store.Close())
 	}
 	g.mu.Lock()
@@ -83,3 +87,19 @@
 	}
 	return nil
 }
+
+// discardStore discards the store, and tries again while its disk refuses that, until ctx ends.
+func (g *Group) discardStore(ctx context.Context, store *disk.Store) error {
+	for first := true; ; first = false {
+		err := store.Discard()
+		if err == nil {
+			return nil
+		}
+		if first {
+			g.log.Error("store not discarded; trying again", "fault", err)
+		}
+		if !sleep(ctx, discardRetryInterval) {
+			return err
+		}
+	}
+}
--- a/controld/members.go
+++ b/controld/members.go
@@ -92,13 +92,14 @@
 	case err != nil:
 		return err
 	}
-	existing, found := c.membership().Find(info.ID)
+	status := c.replica.Status()
+	existing, found := status.Membership.Find(info.ID)
 	switch {
 	case found && existing.Voter && !m.Voter:
 		return fmt.Errorf("%w: a voter does not become a learner; remove it first", server.ErrMemberRefused)
 	case !found && !info.Blank:
 		// The disk may hold the log of another group, or of an earlier membership in this one.
-		return fmt.Errorf("%w: the data folder of %s is not blank", server.ErrMemberRefused, m.ID)
+		return &notBlankError{m.ID, exclusionOf(info.ID, status)}
 	}
 	// The group tolerates the loss of a second voter best if a dead replica is retired before its
 	// replacement is added, and a running one only afterwards; see TestSecondLossDuringReplacement in
--- a/controld/silence.go
+++ b/controld/silence.go
@@ -19,7 +19,7 @@
 	// one failure less.
 	demoteAfter = 500 * time.Millisecond
 	// removeAfter is how long a learner has to be silent before it is removed. A member that returns
-	// earlier gets its vote back; a later one needs a blank disk.
+	// earlier gets its vote back; a later one gives up its log and joins as a blank replica.
 	removeAfter = 10 * time.Minute
 )
 
