--- a/controld/decisions.go
+++ b/controld/decisions.go
@@ -136,7 +136,7 @@
 		return nil, fmt.Errorf("%w: a voter does not become a learner; remove it first", server.ErrMemberRefused)
 	case !found && !r.info.Blank:
 		// The disk may hold the log of another group, or of an earlier membership in this one.
-		return nil, fmt.Errorf("%w: the data folder of %s is not blank", server.ErrMemberRefused, r.member.ID)
+		return nil, &notBlankError{r.member.ID, exclusionOf(id, s)}
 	}
 	addr := memberAddress(r.member).String()
 	add := []consensus.MemberChange{{Kind: consensus.AddLearner, ID: id, Addr: addr}, {Kind: consensus.SetAddr, ID: id, Addr: addr}}
