--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -42,7 +42,7 @@
 }
 
 // reportCrash reports which requests were in flight at u, and withdraws u.
-func (d *Dispatcher) reportCrash(u *upstream, inFlight []uint64) {
+func (d *Dispatcher) reportCrash(u *upstream, inFlight []InFlight) {
 	d.log.Warn("upstream crashed", "upstream", u.id, "in_flight", len(inFlight))
 	if d.cfg.Crashes != nil {
 		d.cfg.Crashes.Crashed(u.id, u.service, inFlight)
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -13,12 +13,12 @@
 	"github.com/godwithub/godwithub/outcome"
 )
 
-// crashReports receives the fingerprints of each crash that is reported.
-type crashReports chan []uint64
+// crashReports receives the requests in flight at each crash that is reported.
+type crashReports chan []InFlight
 
-func (c crashReports) Refused(uint64) bool                                         { return false }
-func (c crashReports) Crashed(_ fleet.UpstreamID, _ string, fingerprints []uint64) { c <- fingerprints }
-func (c crashReports) Completed(uint64)                                            {}
+func (c crashReports) Refused(uint64) bool                                       { return false }
+func (c crashReports) Crashed(_ fleet.UpstreamID, _ string, inFlight []InFlight) { c <- inFlight }
+func (c crashReports) Completed(string, uint64)                                  {}
 
 // Guards against a crash that goes unnoticed because the listener of the ending process closes a
 // moment after its connections: the request would then be retried and crash other upstreams.
@@ -28,12 +28,13 @@
 	reports := make(crashReports, 1)
 	d := New(Config{Log: logging.Discard(), Crashes: reports, Gone: func(fleet.UpstreamID, int64) {}})
 	u := newUpstream(announce.Announcement{ID: "u", Service: "shop", Addr: ln.Addr().String(), Slots: 1}, &Protocol{})
-	u.running[1] = 42
+	want := InFlight{42, time.Now()}
+	u.running[1] = want
 	assert.Assert(t, !d.checkCrash(u), "the listener still accepts connections")
 	assert.NilError(t, ln.Close())
 	select {
-	case fingerprints := <-reports:
-		assert.DeepEqual(t, fingerprints, []uint64{42})
+	case inFlight := <-reports:
+		assert.DeepEqual(t, inFlight, []InFlight{want})
 	case <-time.After(2 * time.Second):
 		t.Fatal("no crash was reported")
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -58,10 +58,16 @@
 type Crashes interface {
 	// Refused reports whether requests with this fingerprint must not run.
 	Refused(fingerprint uint64) bool
-	// Crashed records the fingerprints of the requests in flight when an upstream crashed.
-	Crashed(upstream fleet.UpstreamID, service string, inFlight []uint64)
-	// Completed records that a request with this fingerprint was answered.
-	Completed(fingerprint uint64)
+	// Crashed records the requests in flight when an upstream crashed.
+	Crashed(upstream fleet.UpstreamID, service string, inFlight []InFlight)
+	// Completed records that an upstream of the service answered a request with this fingerprint.
+	Completed(service string, fingerprint uint64)
+}
+
+// InFlight is a request at an upstream.
+type InFlight struct {
+	Fingerprint uint64
+	Began       time.Time
 }
 
 // Result classifies the exchange of one attempt with its upstream, as evidence of its health.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -96,7 +96,7 @@
 	}
 	d.kinds.record(running, serviceTime, result, callFailed)
 	if d.cfg.Crashes != nil && e.Outcome == outcome.Answered {
-		d.cfg.Crashes.Completed(head.Fingerprint)
+		d.cfg.Crashes.Completed(u.service, head.Fingerprint)
 	}
 	if failed, conclusive := d.evidence(head, result, serviceTime); conclusive {
 		d.recordResult(u, sentAt, time.Now(), failed)
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -40,8 +41,8 @@
 	queue   *admission.Queue
 	waiting map[uint64]waiter
 	nextID  uint64
-	// running holds the fingerprints of the requests at the upstream, by ticket ID.
-	running map[uint64]uint64
+	// running holds the requests at the upstream, by ticket ID.
+	running map[uint64]InFlight
 	// rankLevels holds the levels of the configured ranks.
 	rankLevels []int
 	// gray estimates whether the upstream is failing its requests. If it is, the upstream gets a
@@ -76,7 +77,7 @@
 		startMs: a.StartMs,
 		queue:   admission.New(admission.Options{Slots: a.Slots}),
 		waiting: map[uint64]waiter{},
-		running: map[uint64]uint64{},
+		running: map[uint64]InFlight{},
 	}
 	// A connection that is being closed still counts towards the limit for a moment, so the limit is
 	// higher than the number of slots, as far as the upstream allows.
@@ -258,20 +259,15 @@
 	if u.draining {
 		return false
 	}
-	u.running[t.ID] = fingerprint
+	u.running[t.ID] = InFlight{fingerprint, time.Now()}
 	return true
 }
 
-// inFlight returns the fingerprints of the requests at the upstream.
-func (u *upstream) inFlight() []uint64 {
+// inFlight returns the requests at the upstream, the oldest first.
+func (u *upstream) inFlight() []InFlight {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	out := make([]uint64, 0, len(u.running))
-	for _, f := range u.running {
-		out = append(out, f)
-	}
-	slices.Sort(out)
-	return out
+	return slices.SortedFunc(maps.Values(u.running), func(a, b InFlight) int { return a.Began.Compare(b.Began) })
 }
 
 func (u *upstream) load() wire.Load {
--- a/node/new.go
+++ b/node/new.go
@@ -115,6 +115,7 @@
 	n.dispatcher.Register(n.mux)
 	n.mux.Handle(wire.FrameSummaries, n.serveSummaries)
 	n.mux.Handle(wire.FrameCrash, n.serveCrash)
+	n.mux.Handle(wire.FrameSurvival, n.serveSurvival)
 	n.mux.Handle(wire.FrameQuotaRelay, n.quotas.handleRelay)
 	n.ingress = ingress.New(ingress.Config{
 		Log:    partLogger(log, "ingress"),
--- a/wire/evidence.go
+++ b/wire/evidence.go
@@ -12,6 +12,7 @@
 	FrameBaselines link.FrameType = 49 // Baselines, the answer to FrameSummaries
 	FrameCrash     link.FrameType = 50 // Crash, to the other dispatchers of a service
 	FrameDone      link.FrameType = 51 // empty answer, also used for FramePing
+	FrameSurvival  link.FrameType = 52 // Survival, to the other dispatchers of a service
 )
 
 // Summaries carries the recent results of a node's upstreams of one service.
@@ -31,4 +32,19 @@
 	Upstream     fleet.UpstreamID `cbor:"1,keyasint"`
 	Service      string           `cbor:"2,keyasint"`
 	Fingerprints []uint64         `cbor:"3,keyasint"`
+	// Runs describes the requests in the order of Fingerprints. A node of an earlier version sends none.
+	Runs []InterruptedRun `cbor:"4,keyasint,omitempty"`
+}
+
+// InterruptedRun describes a request that was in flight at a crash.
+type InterruptedRun struct {
+	AgeMs int64 `cbor:"1,keyasint"` // how long it was in flight
+	// AnsweredAgoMs is how long ago the reporting node last saw such a request answered, or 0 if it has seen none.
+	AnsweredAgoMs int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// Survival reports that an upstream has answered a request that was in flight at crashes before.
+type Survival struct {
+	Fingerprint   uint64 `cbor:"1,keyasint"`
+	AnsweredAgoMs int64  `cbor:"2,keyasint"`
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -26,6 +26,7 @@
 		Decode(b, &AnswerEnd{})
 		Decode(b, &Summaries{})
 		Decode(b, &Crash{})
+		Decode(b, &Survival{})
 	})
 }
 
