--- a/dispatch/relay.go
+++ b/dispatch/relay.go
@@ -25,7 +25,7 @@
 	endExchange, ok := d.beginExchange()
 	defer endExchange()
 	if !ok {
-		s.Reset()
+		refuseRelay(s)
 		return
 	}
 	d.stats.relayed.Add(1)
@@ -33,7 +33,7 @@
 	defer cancel()
 	out, err := d.cfg.Dialer.Open(dialCtx, head.Addr)
 	if err != nil {
-		s.Reset()
+		refuseRelay(s)
 		return
 	}
 	r := &relay{outlivesStop: d.outlivesStop, ingress: s, dispatcher: out}
@@ -49,6 +49,11 @@
 		// Ends a write of the request that is blocked.
 		out.Reset()
 	}
+	if r.refused.Load() {
+		<-requestCopied
+		refuseRelay(s)
+		return
+	}
 	if err == nil && r.bodyUnread() {
 		// The ingress resets the stream when it has read the outcome; see answerWriter.finish.
 		if err = s.WriteFrame(end.Type, end.Payload); err == nil {
@@ -72,11 +77,22 @@
 	s.Close()
 }
 
+// refuseRelay tells the ingress that nothing was passed on, and waits for it to reset the stream, on which it may still be
+// sending.
+func refuseRelay(s link.Stream) {
+	if s.WriteFrame(wire.FrameNotRelayed, nil) == nil {
+		awaitReset(s)
+	}
+	s.Reset()
+}
+
 // relay copies the frames of one attempt between its ingress and its dispatcher.
 type relay struct {
 	// outlivesStop reports whether an attempt might still run when the relay's node ends.
 	outlivesStop        func(head *wire.AttemptHead, deadline time.Time) bool
 	ingress, dispatcher link.Stream
+	// refused is set if nothing was passed on, since the attempt could outlast this node.
+	refused atomic.Bool
 	// answered is set once the whole answer has been read.
 	answered atomic.Bool
 	// limit resets both streams after the deadline of the attempt, once that is known.
@@ -100,6 +116,7 @@
 		return err
 	}
 	if r.outlivesStop(&head, time.Now().Add(head.Remaining())) {
+		r.refused.Store(true)
 		return errRelayEnds
 	}
 	r.limit.Store(time.AfterFunc(head.Remaining()+writeGrace, func() {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -237,7 +237,7 @@
 
 // exchange sends the attempt on s and receives the answer.
 func (a *attempt) exchange(s link.Stream, r route) (*wire.AnswerEnd, error) {
-	sent, known := time.Now(), a.in.paths.incarnation(a.upstream.Node)
+	sent, known, couldRun := time.Now(), a.in.paths.incarnation(a.upstream.Node), a.mayRun
 	if err := a.send(s); err != nil {
 		return nil, err
 	}
@@ -248,6 +248,10 @@
 	s.SetReadDeadline(sent.Add(timeout))
 	var ack wire.Ack
 	if err := wire.Read(s, wire.FrameAck, &ack); err != nil {
+		if isNotRelayed(err) {
+			a.mayRun = couldRun
+			return nil, err
+		}
 		if a.mayRun && !a.acked && a.unackedIncarnation == nil {
 			a.unackedIncarnation = &known
 		}
@@ -270,6 +274,12 @@
 	return a.answer.receive(s, a.rq, upload.start)
 }
 
+// isNotRelayed reports whether a relay has answered that it has passed nothing on.
+func isNotRelayed(err error) bool {
+	var unexpected *wire.UnexpectedFrameError
+	return errors.As(err, &unexpected) && unexpected.Got == wire.FrameNotRelayed
+}
+
 // waitsForAck reports whether only the head is sent before the acknowledgement: the request must not run
 // twice, or its body can be sent only once.
 func (a *attempt) waitsForAck() bool { return !a.rq.kind.Idempotent || a.head.Streamed }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -31,6 +31,8 @@
 	// FrameContinue asks for the body of a streamed attempt, which has got a slot of its upstream. It
 	// is empty.
 	FrameContinue link.FrameType = 9
+	// FrameNotRelayed says, in place of an Ack, that a relay has passed nothing of an attempt on; empty.
+	FrameNotRelayed link.FrameType = 10
 
 	// Configuration.
 	FrameConfigWatch link.FrameType = 16 // request of package distribute; answered with a series of FrameConfigDelta
