--- a/capacity/work.go
+++ b/capacity/work.go
@@ -8,13 +8,9 @@
 	"time"
 )
 
-const (
-	// minGain is the weight of a new observation in the moving averages after the first few, which are
-	// averaged with equal weights.
-	minGain = 0.05
-	// spreadsAboveMean is the number of mean deviations above the mean within which nearly all runs end.
-	spreadsAboveMean = 3
-)
+// minGain is the weight of a new observation in the moving averages after the first few, which are
+// averaged with equal weights.
+const minGain = 0.05
 
 // Work is a moving estimate of the slot time of runs of one kind: from the start of a run to its end,
 // including the time in which it waits for its calls. The zero value has no observation.
@@ -49,6 +45,3 @@
 
 // Spread returns the mean absolute deviation from the mean.
 func (w *Work) Spread() time.Duration { return time.Duration(w.spread) }
-
-// Longest returns a time within which nearly all runs end.
-func (w *Work) Longest() time.Duration { return time.Duration(w.mean + spreadsAboveMean*w.spread) }
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -9,32 +9,11 @@
 	"github.com/godwithub/godwithub/wire"
 )
 
-// StopCheck decides whether a node that is leaving may take a request.
-type StopCheck struct {
-	// StopAt is when the node ends at the latest, and Deadline when the request does.
-	StopAt, Deadline time.Time
-	// Longest is a time within which nearly all runs of the request's kind end; 0: not known.
-	Longest time.Duration
-	// Repeatable says that the request may run once more if this run is lost.
-	Repeatable bool
-	// SameNode says that the request came in at this node, whose end ends it wherever it runs.
-	SameNode bool
-}
-
-// Allows reports whether the request may be sent to the node at now. A run that is still at work when the node ends is
-// lost, and an estimate of its length does not rule that out. So a request must have its deadline before, or be able
-// to run once more elsewhere.
-func (c StopCheck) Allows(now time.Time) bool {
-	endsInTime := !now.Add(c.Longest).After(c.StopAt)
-	switch {
-	case c.SameNode:
-		return endsInTime
-	case !c.Deadline.After(c.StopAt):
-		return true
-	case !c.Repeatable, c.Longest == 0:
-		return false
-	}
-	return endsInTime && !c.StopAt.Add(c.Longest).After(c.Deadline)
+// EndsInTime reports whether a request with the given deadline may be sent to a node that ends at stopAt at the latest. A
+// run that is still at work then is lost, and no estimate of its length rules that out. sameNode says that the request
+// came in at that node, whose end ends it wherever it runs.
+func EndsInTime(deadline, stopAt time.Time, sameNode bool) bool {
+	return sameNode || !deadline.After(stopAt)
 }
 
 // BeginLeave declines attempts from now on that might still run at stopAt, when the node ends. Other attempts run: a
@@ -45,16 +24,11 @@
 	d.leavingSince, d.stopAt = time.Now(), stopAt
 }
 
-// outlivesStop reports whether a run of an attempt that begins now might still be at work when the node ends.
+// outlivesStop reports whether a run of an attempt might still be at work when the node ends.
 func (d *Dispatcher) outlivesStop(head *wire.AttemptHead, deadline time.Time) bool {
 	d.mu.RLock()
-	stopAt := d.stopAt
-	d.mu.RUnlock()
-	if stopAt.IsZero() {
-		return false
-	}
-	c := StopCheck{StopAt: stopAt, Deadline: deadline, Longest: d.kinds.longest(head.Kind), Repeatable: head.Repeatable, SameNode: head.SameNode}
-	return !c.Allows(time.Now())
+	defer d.mu.RUnlock()
+	return !d.stopAt.IsZero() && !EndsInTime(deadline, d.stopAt, head.SameNode)
 }
 
 // errInterrupted is the cause of a context that Interrupt has ended.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -86,7 +86,6 @@
 	trace       *traceLog
 	bodies      *reqbody.Budget
 	room        roomGuard
-	work        workTable
 
 	mu      sync.Mutex
 	retries map[string]*serviceRetries
@@ -233,8 +232,8 @@
 var _ http.Handler = (*Ingress)(nil)
 
 // candidates returns the upstreams of the service of a request, and in the same order their state as
-// balance.Pick needs it for the request. repeatable says that the request may run once more if a run is lost.
-func (in *Ingress) candidates(v *board.View, rq *request, now time.Time, repeatable bool) ([]balance.Candidate, []board.Upstream) {
+// balance.Pick needs it for the request.
+func (in *Ingress) candidates(v *board.View, rq *request, now time.Time) ([]balance.Candidate, []board.Upstream) {
 	list := v.Upstreams[rq.service.Name]
 	out := make([]balance.Candidate, len(list))
 	for i := range list {
@@ -253,7 +252,7 @@
 			Suspect:       u.Suspect || load.suspect || in.paths.hasFailed(u.Node),
 			Ejected:       u.Ejected,
 			Trial:         u.Trial,
-			Draining:      u.State == fleet.UpstreamDraining || load.leaving || !in.endsBeforeStop(v, u, rq, now, repeatable),
+			Draining:      u.State == fleet.UpstreamDraining || load.leaving || !in.endsBeforeStop(v, u, rq),
 			Weight:        warmWeight(u, now) * load.capacityShare,
 			RateLimited:   load.rateLimited,
 		}
--- a/ingress/pick.go
+++ b/ingress/pick.go
@@ -81,10 +81,9 @@
 	return !h.rq.kind.Idempotent || h.runs+1 >= h.maxRuns() || !h.in.retriesOf(h.rq.service.Name).wouldAllow(now)
 }
 
-// repeatable reports whether the request may run once more if its next run is lost: by its kind and budget, and since
-// neither its body nor a part of its answer has been passed on by then.
+// repeatable reports whether the request may run once more if its next run is lost.
 func (h *requestHandler) repeatable(now time.Time) bool {
-	return !h.lastRun(now) && h.rq.body.Whole() && !h.in.work.hasLongAnswers(h.rq.kind.Name)
+	return !h.lastRun(now) && h.rq.body.Whole()
 }
 
 // countedAttempts returns the number of attempts that count towards retry.MaxAttempts: after the request was handed back,
@@ -151,7 +150,7 @@
 func (h *requestHandler) pick(now time.Time) (*board.Upstream, outcome.Reason) {
 	c := &selection{requestHandler: h, now: now, reason: outcome.ReasonNoUpstream, balanceReq: newBalanceRequest(h.view, h.rq)}
 	c.balanceReq.LastRun = h.lastRun(now)
-	candidates, upstreams := h.in.candidates(h.view, h.rq, now, h.repeatable(now))
+	candidates, upstreams := h.in.candidates(h.view, h.rq, now)
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.askOthers = h.shouldAskOthers(r, c.balanceReq, candidates)
 	c.balanceReq.Tried, c.balanceReq.LoadsKnown = h.excluded(), h.insists()
--- a/ingress/route.go
+++ b/ingress/route.go
@@ -143,7 +143,7 @@
 	last.CrossAllowed = in.cfg.WouldCrossRegion == nil || in.cfg.WouldCrossRegion(rq.level, rq.crossingBytes())
 	first := last
 	first.CrossAllowed = last.CrossAllowed && in.crossRegion.allowed(rq.service.Name, now)
-	candidates, upstreams := in.candidates(v, rq, now, rq.kind.Idempotent)
+	candidates, upstreams := in.candidates(v, rq, now)
 	reason, share = outcome.ReasonNoUpstream, 1
 	order := map[string]int{}
 	for i := range candidates {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -294,9 +294,6 @@
 	e = h.fence(ctx, a, e)
 	h.recordAttempt(u, e, end)
 	h.in.recordRoom(h.rq, e, end, time.Now())
-	if e.Outcome == outcome.Answered && h.answer.head.Status < http.StatusInternalServerError {
-		h.in.work.record(h.rq.kind.Name, end, h.answer.begun)
-	}
 	h.trace = append(h.trace, AttemptTrace{u.ID, u.Node, time.Since(now), e.Outcome.String(), string(e.Reason)})
 	return e, true
 }
