--- a/node/stopothers_test.go
+++ b/node/stopothers_test.go
@@ -17,8 +17,8 @@
 	"github.com/godwithub/godwithub/resource"
 )
 
-// longRun is the header of a request whose run the upstream does not end by itself.
-const longRun = "Long"
+// longRunHeader is the header of a request whose run the upstream does not end by itself.
+const longRunHeader = "Long"
 
 // usualRun is how long the other runs last.
 const usualRun = 5 * time.Millisecond
@@ -53,7 +53,7 @@
 	far, stop := startNodeWith(t, m, keyDir, "b", "tls", lameDuck)
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
-		if r.Header.Get(longRun) != "" {
+		if r.Header.Get(longRunHeader) != "" {
 			f.begun <- struct{}{}
 			run(w, r)
 			select {
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	if long != "" {
-		req.Header.Set(longRun, long)
+		req.Header.Set(longRunHeader, long)
 	}
 	return http.DefaultClient.Do(req)
 }
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set(longRun, "yes")
+	req.Header.Set(longRunHeader, "yes")
 	return http.DefaultClient.Do(req)
 }
 
