--- a/node/node.go
+++ b/node/node.go
@@ -311,7 +311,10 @@
 // nodes.
 func (n *Node) closeCallers(ctx context.Context) error {
 	n.callerLn.Close()
-	return errors.Join(n.callerConns.Finish(ctx), n.ingress.Leave(ctx))
+	err := n.callerConns.Finish(ctx)
+	// What is read from now on is not waited for, and the end of the process would cut it off.
+	n.ingress.RefuseNew()
+	return errors.Join(err, n.ingress.Leave(ctx))
 }
 
 // closeAll closes listeners, connections and servers, for backgroundTimeout at most. Some of
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -186,3 +186,24 @@
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	}
 }
+
+// Guards against a request that is read so late in a stop that the end of the process cuts it off: its head was not whole
+// when the wait for unread requests was over, and another node's upstream is at work on it.
+func TestRequestThatIsReadLateInAStopIsNotBegun(t *testing.T) {
+	f := startLongRunWith(t, startNodeWith)
+	ended := make(chan error, 1)
+	go func() { ended <- f.send("HTTP/1.1") }()
+	<-f.begun
+	late := dial(t, f.far.settings.CallerAddr)
+	io.WriteString(late, "POST /orders HTTP/1.1\r\nHost: shop\r\nContent-Length: 0\r\n")
+	other := startCallingUpstream(t, f.near.settings.CallerAddr)
+	announceUpstream(t, f.near, "u2", other.addr, false)
+	waitForUpstreams(t, f.far, 2)
+	go f.stopFar()
+	awaitLameDuckEnd(t, f.far)
+	f.awaitNoUpstream(t)
+	io.WriteString(late, "\r\n")
+	assert.Equal(t, readStatus(t, late), http.StatusServiceUnavailable)
+	close(f.release)
+	assert.NilError(t, <-ended)
+}
--- a/node/stopcalls_test.go
+++ b/node/stopcalls_test.go
@@ -20,7 +20,7 @@
 )
 
 // startNodeWithCalls starts a node that recognizes the calls of running requests.
-func startNodeWithCalls(t *testing.T, m *fakeMembership, keyDir, name string, change func(*Settings)) (*Node, func()) {
+func startNodeWithCalls(t testing.TB, m *fakeMembership, keyDir, name string, change func(*Settings)) (*Node, func()) {
 	callers := ingress.OwnProtocol()
 	callers.RequestID, callers.CallSeparator = dispatch.HeaderRequestID, "."
 	return startNodeOptions(t, m, keyDir, name, "tls", change, Options{CallerProtocol: callers})
