--- a/node/stopways_test.go
+++ b/node/stopways_test.go
@@ -192,6 +192,12 @@
 			announcementSink{f.far}.Withdraw("u1")
 			f.awaitNoUpstream(t)
 		},
+		"the upstream leaves and its node stops": func(t *testing.T, f *longRun) {
+			announcementSink{f.far}.Withdraw("u1")
+			go f.stopFar()
+			awaitLameDuckEnd(t, f.far)
+			f.awaitNoUpstream(t)
+		},
 		"a configuration shortens the deadline": func(t *testing.T, f *longRun) {
 			s := testSet()
 			s.Advance()
