--- a/ingress/request.go
+++ b/ingress/request.go
@@ -101,6 +101,9 @@
 	if err := rq.readHeaders(&in.cfg.CallerProtocol); err != nil {
 		return rq, err
 	}
+	if !in.inFlight.endsInTime(rq.deadline) {
+		return rq, refuse(outcome.ReasonDraining, "the node may end before the request does")
+	}
 	return rq, rq.authenticate(v.Config, route, in.cfg.CallerProtocol.Credential)
 }
 
--- a/ingress/stop.go
+++ b/ingress/stop.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // inFlight counts the requests in flight. The zero value counts none.
 type inFlight struct {
 	mu       sync.RWMutex
 	closed   bool
+	stopAt   time.Time // set once it is closed
 	requests sync.WaitGroup
 }
 
@@ -24,10 +26,17 @@
 	return f.requests.Done
 }
 
-func (f *inFlight) close() {
+func (f *inFlight) close(stopAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.closed = true
+	f.closed, f.stopAt = true, stopAt
+}
+
+// endsInTime reports whether a request that arrives now has its deadline before the stop ends.
+func (f *inFlight) endsInTime(deadline time.Time) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return !f.closed || !deadline.After(f.stopAt)
 }
 
 func (f *inFlight) isClosed() bool {
@@ -36,9 +45,10 @@
 	return f.closed
 }
 
-// RefuseNew refuses the requests that arrive from now on, except for the calls of requests that upstreams of this VM
-// run. Leave does not wait for such calls: the dispatcher waits for the runs that make them.
-func (in *Ingress) RefuseNew() { in.inFlight.close() }
+// RefuseNew refuses the requests that arrive from now on, except for those calls of requests which upstreams of this VM
+// run that have their deadlines before stopAt, when the stop ends. Leave does not wait for such calls: the dispatcher waits
+// for the runs that make them.
+func (in *Ingress) RefuseNew(stopAt time.Time) { in.inFlight.close(stopAt) }
 
 // Leave waits until all requests in flight have been answered, or ctx ends. New requests are refused from RefuseNew on,
 // or without Config.LameDuck from when the view says that the node is leaving.
--- a/node/node.go
+++ b/node/node.go
@@ -276,11 +276,11 @@
 	leaveResult := make(chan error, 1)
 	go func() { leaveResult <- wrap("announcement of the leave", n.membership.Leave(ctx)) }()
 	n.lameDuck(ctx)
-	err := wrap("requests of callers", n.finishRequests(ctx))
+	err := wrap("requests of callers", n.finishRequests(ctx, stopAt))
 	// Until here, the dispatcher accepts attempts of other nodes that end before stopAt.
 	n.closeUpstreams(stopAt)
 	err = errors.Join(err, wrap("attempts of other nodes", n.dispatcher.Leave(ctx)))
-	err = errors.Join(err, wrap("connections of callers", n.closeCallers(ctx)), <-leaveResult)
+	err = errors.Join(err, wrap("connections of callers", n.closeCallers(ctx, stopAt)), <-leaveResult)
 	n.closeAll()
 	if err != nil {
 		return fmt.Errorf("node: leave: %w", err)
@@ -299,22 +299,22 @@
 
 // finishRequests takes no new requests of callers and waits for those in flight. The listener and idle connections stay
 // open for the calls of requests that upstreams of this VM run, if calls are recognized.
-func (n *Node) finishRequests(ctx context.Context) error {
+func (n *Node) finishRequests(ctx context.Context, stopAt time.Time) error {
 	if n.options.CallerProtocol.CallSeparator == "" {
-		return n.closeCallers(ctx)
+		return n.closeCallers(ctx, stopAt)
 	}
-	n.ingress.RefuseNew()
+	n.ingress.RefuseNew(stopAt)
 	return n.ingress.Leave(ctx)
 }
 
 // closeCallers closes the listener for callers and waits for their requests in flight, and for
 // those that are still being read. Idle connections are closed, so that callers connect to other
 // nodes.
-func (n *Node) closeCallers(ctx context.Context) error {
+func (n *Node) closeCallers(ctx context.Context, stopAt time.Time) error {
 	n.callerLn.Close()
 	err := n.callerConns.Finish(ctx)
 	// What is read from now on is not waited for, and the end of the process would cut it off.
-	n.ingress.RefuseNew()
+	n.ingress.RefuseNew(stopAt)
 	return errors.Join(err, n.ingress.Leave(ctx))
 }
 
--- a/node/stopcalls_test.go
+++ b/node/stopcalls_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// Guards against a stopping node that takes a call which its end could cut off while the call's upstream is at work.
+func TestStoppingNodeTakesNoCallThatCouldBeCut(t *testing.T) {
+	keyDir := t.TempDir()
+	assert.NilError(t, keys.Init(keyDir))
+	m := &fakeMembership{nodes: map[fleet.NodeID]fleet.Node{}, config: testSet()}
+	other, _ := startNodeWithCalls(t, m, keyDir, "a", func(*Settings) {})
+	// The deadline of a call is 2 s.
+	n, stop := startNodeWithCalls(t, m, keyDir, "b", func(s *Settings) { s.LameDuck, s.DrainTimeout = 200*time.Millisecond, 2*time.Second })
+	u := startCallingUpstream(t, n.settings.CallerAddr)
+	announceUpstream(t, n, "u1", u.addr, false)
+	waitForUpstreams(t, n, 1)
+	waitForUpstreams(t, other, 1)
+	ended := make(chan string, 1)
+	go func() { ended <- postRun(other.settings.CallerAddr) }()
+	<-u.begun
+	second := startCallingUpstream(t, n.settings.CallerAddr)
+	announceUpstream(t, other, "u2", second.addr, false)
+	waitForUpstreams(t, n, 2)
+	go stop()
+	awaitLameDuckEnd(t, n)
+	close(u.call)
+	assert.Equal(t, <-ended, "500 the call failed: status 503, <nil>")
+}
+
 // postRun sends the request "run", and returns the status and body of the answer.
 func postRun(addr string) string {
 	req, _ := http.NewRequest("POST", "http://"+addr+"/orders", strings.NewReader("lotus"))
