Review: the first acknowledged configuration is lost with two disks

Cause: a configuration is acknowledged while only the three founders vote, so that it may be on two disks.

--- a/review/drive3/fleet.go
+++ b/review/drive3/fleet.go
@@ -337,3 +337,13 @@
 	}
 	return nil, fmt.Errorf("no answer to a read: status %d, %v", status, err)
 }
+
+// postTo sends one call of the operator and returns the status of the answer, or 0.
+func postTo(client *http.Client, m *machine, call string, body []byte) int {
+	resp, err := client.Post("http://"+m.addr(portControl)+"/rpc?call="+call, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -11,10 +11,10 @@
 // cases are the cases that this program plays, by name. Each returns the exit code of its script.
 var cases = map[string]func(r *record, trouble bool) (int, error){
 	"stray":     runStray,
-	"emptyhost": runEmptyHost,
 	"removed":   runRemoved,
 	"unfounded": runUnfounded,
 	"blankstop": runBlankStop,
+	"firstack":  runFirstAck,
 }
 
 // main plays a case: drive3 CASE FOLDER. With TROUBLE=0 in the environment, the disruption is left out.
