--- a/review/drive3/document.go
+++ b/review/drive3/document.go
@@ -14,7 +14,7 @@
 }
 
 // document returns a configuration in the operator's format.
-func document(version, base int, services []string, routes []routeSpec, emptyHosts ...string) []byte {
+func document(version, base int, services []string, routes []routeSpec) []byte {
 	byHost := map[string][]any{}
 	var hosts []string
 	for _, r := range routes {
@@ -31,9 +31,6 @@
 	for _, h := range hosts {
 		listeners = append(listeners, map[string]any{"host": h, "rules": byHost[h]})
 	}
-	for _, h := range emptyHosts {
-		listeners = append(listeners, map[string]any{"host": h, "rules": []any{}})
-	}
 	clusters := []any{}
 	for _, s := range services {
 		clusters = append(clusters, map[string]any{"name": s, "health_path": "/healthz", "max_connections": 390, "protocol": "h1", "tls": false})
--- a/review/drive3/fleet.go
+++ b/review/drive3/fleet.go
@@ -324,19 +324,6 @@
 	return status, answer, err
 }
 
-// read reads the configuration from one control process after the other.
-func (f *fleet) read(limit time.Duration) (answer []byte, err error) {
-	end := time.Now().Add(limit)
-	status := 0
-	for i := 0; time.Now().Before(end); i++ {
-		status, answer, err = callOperator(f.cores[i%len(f.cores)], "config.read", nil, time.Second)
-		if err == nil && status == http.StatusOK {
-			return answer, nil
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return nil, fmt.Errorf("no answer to a read: status %d, %v", status, err)
-}
 
 // postTo sends one call of the operator and returns the status of the answer, or 0.
 func postTo(client *http.Client, m *machine, call string, body []byte) int {
