--- a/review/drive3/fleet.go
+++ b/review/drive3/fleet.go
@@ -324,7 +324,6 @@
 	return status, answer, err
 }
 
-
 // postTo sends one call of the operator and returns the status of the answer, or 0.
 func postTo(client *http.Client, m *machine, call string, body []byte) int {
 	resp, err := client.Post("http://"+m.addr(portControl)+"/rpc?call="+call, "application/json", bytes.NewReader(body))
