Review: a configuration that is not UTF-8 is acknowledged and in force

Cause: platform/document.go decodes documents with json.Unmarshal, which replaces bytes that are not UTF-8 without an error. Change: review/15 shows it. It takes the place of the case with a blank machine that is stopped as planned, which needs three lost disks and has the outcome of review/11. review/13 and 15 run five core machines.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/godwithub-platform ] && [ -x target/drive3 ] || { echo "build first: deploy/system.toml, review/build-3.sh"; exit 2; }
-exec target/drive3 blankstop review/15
+exec target/drive3 damaged review/15
--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -13,7 +13,7 @@
 	"stray":     runStray,
 	"removed":   runRemoved,
 	"unfounded": runUnfounded,
-	"blankstop": runBlankStop,
+	"damaged":   runDamaged,
 	"firstack":  runFirstAck,
 }
 
--- a/review/drive3/stray.go
+++ b/review/drive3/stray.go
@@ -22,7 +22,7 @@
 // address of an upstream. They name no upstream to use, and the others hold.
 func runStray(r *record, trouble bool) (int, error) {
 	const service = "huvo11a"
-	f, err := newFleet(3, []string{service, service, service})
+	f, err := newFleet(5, []string{service, service, service})
 	if err != nil {
 		return exitNotRun, err
 	}
@@ -42,17 +42,7 @@
 	r.add("operator: config.replace of version 00000001 acknowledged")
 	var upstreams []*upstream
 	for i, m := range f.sides {
-		u, err := newUpstream(m, fmt.Sprintf("i-7f3a91c%d", i), 5, func(u *upstream, x *exchange) bool {
-			if !x.expected() {
-				return x.wrongInstance()
-			}
-			if x.readBody() != nil {
-				return false
-			}
-			r.add("upstream %s runs %s", u.id, x.id)
-			time.Sleep(20 * time.Millisecond)
-			return x.answer(http.StatusOK, bodyOf(x.id, 200))
-		})
+		u, err := newUpstream(m, fmt.Sprintf("i-7f3a91c%d", i), 5, func(u *upstream, x *exchange) bool { return runShortWork(r, x) })
 		if err != nil {
 			return exitNotRun, err
 		}
