Acknowledge a change only when the group can lose what it has to bear and go on

No read and no change is answered any more. review/12: the same with the first configuration, acknowledged by two of three founders.

Cause: an entry was applied and acknowledged once a quorum had stored it. That bears two losses only while five vote and those that do not answer are losses. Between the end of a replaced member and its demotion (1.85 s) four of six are needed and three are left; at the first start one of three is.

Evidence: the model of the group with two new events, an end for good without a stop and a loss of two disks at the moment of an acknowledgement, finds review/11 after 563 states ("remove c1 soon, write-lose-disk c2 c3") and review/12 after 16. Ruled out by its states: that the newcomer has no vote, that the entry itself is missing, that the blank members are refused.

Change: while the group has more or fewer voters than five, the leader releases an entry only once so many voters have stored it that a quorum of them is left after the losses, or the membership has five voters again, or after 2.5 s. It applies, acknowledges and tells others of released entries only, so that answers to resends, reads, versions and configurations at nodes wait as well. Changes of the membership end the wait and need only the leadership confirmed.

Open: two disks lost in the same window at a moment that is no acknowledgement still end the group.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -33,6 +33,8 @@
 	DefaultMaxPendingBytes = 16 << 20
 	DefaultKeepEntries     = 1024
 	DefaultPromoteLag      = 64
+	// DefaultReleaseTicks is longer than it takes until the vote of a member that has ended is found by its silence and taken.
+	DefaultReleaseTicks = 25
 )
 
 // Config configures a Core and does not change afterwards. Zero fields other than ID and Seed take
@@ -57,6 +59,13 @@
 	KeepEntries uint64
 	// PromoteLag is how many entries a learner may lag behind the leader's log when it is promoted.
 	PromoteLag uint64
+	// TargetVoters is the number of voters that the group is meant to have. It is to tolerate the loss of the disks of
+	// (TargetVoters-1)/2 of them at the same time. While it has more or fewer voters, committed entries are applied and acknowledged
+	// only once so many voters have stored them that they remain after such a loss, or after ReleaseTicks. 0: they are
+	// applied as soon as they are committed.
+	TargetVoters int
+	// ReleaseTicks bounds how long committed entries wait because of TargetVoters.
+	ReleaseTicks int
 }
 
 func (c Config) withDefaults() Config {
@@ -67,6 +76,7 @@
 	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
 	setDefault(&c.PromoteLag, DefaultPromoteLag)
+	setDefault(&c.ReleaseTicks, DefaultReleaseTicks)
 	return c
 }
 
@@ -100,6 +110,8 @@
 	ticksToHeartbeat int
 	pendingBytes     int
 	reads            reads
+	settledAt        uint64 // tick of the election or of the last change of the voters
+	heldSince        uint64 // tick since which committed entries wait to be released; 0: none does
 
 	messages          []Message
 	installPending    bool // log.snapshot was received from the leader and is not stored yet
@@ -282,6 +294,7 @@
 	Term       uint64
 	Leader     ReplicaID // 0: unknown
 	Commit     uint64
+	Released   uint64 // last committed index that may be applied, see Config.TargetVoters
 	Last       uint64 // last index in the log
 	LastTerm   uint64 // term of the last entry
 	Snapshot   uint64 // index of the snapshot
@@ -304,7 +317,7 @@
 	ms, index := c.log.membership()
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.hardState.Term, Leader: c.leader,
-		Commit: c.log.commit, Last: c.log.lastIndex(), LastTerm: c.log.lastTerm(), Snapshot: c.log.snapshot.Index,
+		Commit: c.log.commit, Released: c.log.released, Last: c.log.lastIndex(), LastTerm: c.log.lastTerm(), Snapshot: c.log.snapshot.Index,
 		Membership: ms, MembershipCommitted: index <= c.log.commit, Now: c.now,
 	}
 	if c.role == Leader {
@@ -323,6 +336,9 @@
 // Role returns the current role and term.
 func (c *Core) Role() (Role, uint64) { return c.role, c.hardState.Term }
 
+// CommitIndex returns the index of the last entry that this replica knows to be committed.
+func (c *Core) CommitIndex() uint64 { return c.log.commit }
+
 // LeaderID returns the leader of the current term, or 0 if it is unknown.
 func (c *Core) LeaderID() ReplicaID { return c.leader }
 
--- a/consensus/faults_test.go
+++ b/consensus/faults_test.go
@@ -333,7 +333,7 @@
 }
 
 func chaosConfig(seed uint64) Config {
-	return Config{Seed: seed, ElectionTicks: 6, HeartbeatTicks: 2, MaxAppendBytes: 120, MaxInFlight: 3, KeepEntries: 3, PromoteLag: 2}
+	return Config{Seed: seed, ElectionTicks: 6, HeartbeatTicks: 2, MaxAppendBytes: 120, MaxInFlight: 3, KeepEntries: 3, PromoteLag: 2, ReleaseTicks: 3}
 }
 
 // Guards against violations of the safety properties under faults. The properties: one leader per
@@ -346,13 +346,15 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		voters := rapid.SampledFrom([]int{3, 1, 2, 4, 5}).Draw(t, "voters")
 		steps := rapid.SampledFrom([]int{200, 1000, 4000}).Draw(t, "steps")
-		runChaos(t.Fatalf, seed, voters, steps)
+		cfg := chaosConfig(seed)
+		cfg.TargetVoters = rapid.SampledFrom([]int{0, 3, 5}).Draw(t, "target voters")
+		runChaos(t.Fatalf, cfg, voters, steps)
 	})
 }
 
-func runChaos(fail func(string, ...any), seed uint64, voters, steps int) *chaos {
-	c := newChaos(chaosConfig(seed), voters, 4, fail)
-	r := rand.New(rand.NewPCG(seed, 7))
+func runChaos(fail func(string, ...any), cfg Config, voters, steps int) *chaos {
+	c := newChaos(cfg, voters, 4, fail)
+	r := rand.New(rand.NewPCG(cfg.Seed, 7))
 	for range steps {
 		c.step(r)
 	}
@@ -371,7 +373,7 @@
 func TestFaultsExerciseTheCore(t *testing.T) {
 	var answered, leaderships, snapshotIndexes int
 	for seed := range uint64(20) {
-		c := runChaos(func(f string, a ...any) { t.Fatalf(f, a...) }, seed, 3, 3000)
+		c := runChaos(func(f string, a ...any) { t.Fatalf(f, a...) }, chaosConfig(seed), 3, 3000)
 		answered += len(c.history)
 		leaderships += len(c.leaders)
 		for _, n := range c.running() {
--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -17,8 +17,11 @@
 	}
 }
 
+// commitTo adopts the commit index that a leader sends, which is the last one that it has released.
 func (c *Core) commitTo(index uint64) {
-	c.log.commit = max(c.log.commit, min(index, c.log.lastIndex()))
+	index = min(index, c.log.lastIndex())
+	c.log.commit = max(c.log.commit, index)
+	c.log.released = max(c.log.released, index)
 }
 
 func (c *Core) stepAppend(m Message) {
@@ -62,6 +65,8 @@
 	case s == nil:
 		return
 	case s.Index <= c.log.commit:
+		// A former leader may not have released all that it has committed.
+		c.commitTo(s.Index)
 	case c.log.matches(s.Index, s.Term):
 		// The log already holds everything that the snapshot covers.
 		c.commitTo(s.Index)
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -11,7 +11,8 @@
 	c.peers = map[ReplicaID]*tracker.Progress{}
 	c.pendingBytes = 0
 	c.ticksToHeartbeat = c.cfg.HeartbeatTicks
-	c.reads = reads{}
+	c.reads = reads{floor: c.log.lastIndex()}
+	c.settledAt = c.now
 	c.trackPeers()
 	// Entries of earlier terms can be committed only along with an entry of this term.
 	c.appendEntry(Entry{Kind: EntryNoop})
@@ -37,6 +38,7 @@
 		c.becomeFollower(c.hardState.Term, 0)
 		return
 	}
+	c.advanceRelease()
 	c.ticksToHeartbeat--
 	if c.ticksToHeartbeat <= 0 {
 		c.sendHeartbeats()
@@ -75,7 +77,7 @@
 func (c *Core) sendHeartbeat(to ReplicaID, p *tracker.Progress) {
 	// After Match, the follower may lack entries or hold conflicting ones, so it must not commit
 	// beyond Match.
-	commit := min(c.log.commit, p.Match)
+	commit := min(c.log.released, p.Match)
 	c.send(Message{Type: MsgHeartbeat, To: to, Commit: commit, ReadSeq: c.reads.lastSent})
 }
 
@@ -107,7 +109,7 @@
 		return false
 	}
 	entries := c.log.entriesFrom(p.Next, c.cfg.MaxAppendBytes)
-	c.send(Message{Type: MsgAppend, To: to, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: c.log.commit})
+	c.send(Message{Type: MsgAppend, To: to, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: c.log.released})
 	p.SentEntries(prev + uint64(len(entries)))
 	return p.State == tracker.Replicate
 }
@@ -130,7 +132,7 @@
 	case m.Index > c.log.lastIndex():
 		// A peer cannot have matching entries beyond the leader's log, so the message is malformed.
 	case p.Accepted(m.Index):
-		c.advanceCommit()
+		c.advance()
 	}
 }
 
@@ -156,6 +158,11 @@
 // majorityValue returns the largest value that a quorum of voters has reached or passed. own is the value of
 // this replica, and valueOf returns that of a peer.
 func (c *Core) majorityValue(own uint64, valueOf func(*tracker.Progress) uint64) uint64 {
+	return quorum.MajorityValue(c.voterValues(own, valueOf))
+}
+
+// voterValues returns one value for each voter, see majorityValue.
+func (c *Core) voterValues(own uint64, valueOf func(*tracker.Progress) uint64) []uint64 {
 	ms, _ := c.log.membership()
 	var values []uint64
 	for _, m := range ms {
@@ -167,24 +174,33 @@
 			values = append(values, valueOf(c.peers[m.ID]))
 		}
 	}
-	return quorum.MajorityValue(values)
+	return values
+}
+
+func matchOf(p *tracker.Progress) uint64 { return p.Match }
+
+// advance raises the commit index and releases what may be released.
+func (c *Core) advance() {
+	committed := c.advanceCommit()
+	c.advanceRelease()
+	if committed {
+		c.stepDownIfRemoved()
+	}
 }
 
 // advanceCommit raises the commit index to the last entry that a quorum has stored, provided that
-// this entry is of the current term.
-func (c *Core) advanceCommit() {
-	index := c.majorityValue(c.log.stored, func(p *tracker.Progress) uint64 { return p.Match })
+// this entry is of the current term. It reports whether it did.
+func (c *Core) advanceCommit() bool {
+	index := c.majorityValue(c.log.stored, matchOf)
 	if index <= c.log.commit || !c.log.matches(index, c.hardState.Term) {
-		return
+		return false
 	}
 	for _, e := range c.log.entriesBetween(c.log.commit+1, index) {
 		c.pendingBytes -= e.Size()
 	}
 	c.pendingBytes = max(0, c.pendingBytes)
 	c.log.commit = index
-	c.reads.assignIndex(index)
-	c.confirmReads()
-	c.stepDownIfRemoved()
+	return true
 }
 
 // stepDownIfRemoved ends the leadership of a replica whose own removal is committed. Until then it
@@ -244,6 +260,9 @@
 		return 0, ErrNoQuorum
 	}
 	c.appendEntry(Entry{Kind: EntryMembership, Membership: next})
+	if change.Kind == Promote || change.Kind == Demote || change.Kind == Remove {
+		c.settledAt = c.now
+	}
 	c.trackPeers()
 	return c.log.lastIndex(), nil
 }
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -6,7 +6,7 @@
 )
 
 // log is the in-memory log: the entries after its base, the latest snapshot, and the indexes up to
-// which entries are stored, committed and delivered to the caller.
+// which entries are stored, committed, released and delivered to the caller.
 type log struct {
 	snapshot Snapshot
 	// The base is the entry before entries[0]. Only its index and term are kept.
@@ -14,7 +14,8 @@
 	entries             []Entry
 	stored              uint64 // last index on stable storage
 	commit              uint64 // last committed index
-	delivered           uint64 // last committed index delivered to the caller to be applied
+	released            uint64 // last committed index that may be applied and acknowledged, see releasable
+	delivered           uint64 // last released index delivered to the caller to be applied
 	// memberships holds the memberships that the log and the snapshot contain, oldest first. A
 	// membership takes effect as soon as its entry is in the log.
 	memberships []membershipAt
@@ -32,6 +33,7 @@
 		baseIndex:   s.Snapshot.Index,
 		baseTerm:    s.Snapshot.Term,
 		commit:      s.Snapshot.Index,
+		released:    s.Snapshot.Index,
 		delivered:   s.Snapshot.Index,
 		memberships: []membershipAt{{s.Snapshot.Index, s.Snapshot.Membership}},
 	}
@@ -198,6 +200,7 @@
 		baseTerm:    s.Term,
 		stored:      s.Index,
 		commit:      s.Index,
+		released:    s.Index,
 		delivered:   s.Index,
 		memberships: []membershipAt{{s.Index, s.Membership}},
 	}
--- a/consensus/quorum/quorum.go
+++ b/consensus/quorum/quorum.go
@@ -15,10 +15,14 @@
 
 // MajorityValue returns the largest value that a quorum of voters has reached or passed, given one
 // value per voter. It returns 0 if values is empty. It sorts values in place.
-func MajorityValue(values []uint64) uint64 {
-	if len(values) == 0 {
+func MajorityValue(values []uint64) uint64 { return ValueOf(values, Size(len(values))) }
+
+// ValueOf returns the largest value that count voters have reached or passed, given one value per voter. It
+// returns 0 if there are fewer voters. It sorts values in place.
+func ValueOf(values []uint64, count int) uint64 {
+	if count > len(values) {
 		return 0
 	}
 	slices.Sort(values)
-	return values[len(values)-Size(len(values))]
+	return values[len(values)-count]
 }
--- a/consensus/reads.go
+++ b/consensus/reads.go
@@ -17,6 +17,7 @@
 type reads struct {
 	lastIssued uint64 // sequence number of the last read
 	lastSent   uint64 // highest sequence number sent in heartbeats
+	floor      uint64 // last index of the log at the election: earlier leaders may have acknowledged all up to it
 	waiting    []ConfirmedRead
 	confirmed  []ConfirmedRead
 	round      uint64      // sequence number of the latest heartbeats to all peers
@@ -26,31 +27,24 @@
 }
 
 // Read requests a confirmed read and returns its sequence number, which appears in Ready.Reads once
-// the read is confirmed. Pending reads are dropped without notice when the leadership ends. Sequence
-// numbers start over with each leadership.
+// the read is confirmed and all entries that may have been acknowledged before are released. Pending reads are
+// dropped without notice when the leadership ends. Sequence numbers start over with each leadership.
 func (c *Core) Read() (seq uint64, err error) {
+	return c.addRead(max(c.log.released, c.reads.floor))
+}
+
+// ConfirmLeadership is like Read, but waits for no entries to be released. Changes of the membership need no more, and entries
+// may be released only after such a change.
+func (c *Core) ConfirmLeadership() (seq uint64, err error) { return c.addRead(0) }
+
+func (c *Core) addRead(index uint64) (seq uint64, err error) {
 	if c.role != Leader {
 		return 0, ErrNotLeader
 	}
 	c.reads.lastIssued++
-	r := ConfirmedRead{Seq: c.reads.lastIssued}
-	// Until an entry of its own term is committed, a leader does not know the commit index of its
-	// predecessors.
-	if c.committedInCurrentTerm() {
-		r.Index = c.log.commit
-	}
-	c.reads.waiting = append(c.reads.waiting, r)
+	c.reads.waiting = append(c.reads.waiting, ConfirmedRead{Seq: c.reads.lastIssued, Index: index})
 	c.confirmReads()
-	return r.Seq, nil
-}
-
-// assignIndex sets the index of reads that arrived before the first commit of the term.
-func (r *reads) assignIndex(index uint64) {
-	for i := range r.waiting {
-		if r.waiting[i].Index == 0 {
-			r.waiting[i].Index = index
-		}
-	}
+	return c.reads.lastIssued, nil
 }
 
 // recordResponder records that a peer has replied to a heartbeat with the sequence number seq.
@@ -82,18 +76,22 @@
 	}
 }
 
-// confirmReads moves reads whose sequence number a quorum has acknowledged from waiting to confirmed.
+// confirmReads moves reads whose sequence number a quorum has acknowledged, and whose index is released, from waiting
+// to confirmed.
 func (c *Core) confirmReads() {
 	if len(c.reads.waiting) == 0 || !c.committedInCurrentTerm() {
 		return
 	}
 	seq := c.majorityValue(c.reads.lastIssued, func(p *tracker.Progress) uint64 { return p.ReadAck })
-	n := 0
-	for n < len(c.reads.waiting) && c.reads.waiting[n].Seq <= seq {
-		n++
+	var waiting []ConfirmedRead
+	for _, r := range c.reads.waiting {
+		if r.Seq <= seq && r.Index <= c.log.released {
+			c.reads.confirmed = append(c.reads.confirmed, r)
+		} else {
+			waiting = append(waiting, r)
+		}
 	}
-	c.reads.confirmed = append(c.reads.confirmed, c.reads.waiting[:n]...)
-	c.reads.waiting = c.reads.waiting[n:]
+	c.reads.waiting = waiting
 }
 
 // takeConfirmed returns the confirmed reads and removes them.
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -12,7 +12,7 @@
 	Messages []Message
 	// InstallSnapshot reports whether the state machine must be restored from Batch.Snapshot.
 	InstallSnapshot bool
-	// Committed holds the entries to apply, in order.
+	// Committed holds the committed entries to apply, in order. See Config.TargetVoters.
 	Committed []Entry
 	// Reads holds the confirmed reads. Each may be served once its index is applied.
 	Reads []ConfirmedRead
@@ -39,7 +39,7 @@
 			r.Messages = append(r.Messages, m)
 		}
 	}
-	r.Committed = c.log.entriesBetween(c.log.delivered+1, c.log.commit)
+	r.Committed = c.log.entriesBetween(c.log.delivered+1, c.log.released)
 	r.Reads = c.reads.takeConfirmed()
 	c.messages = nil
 	c.inReady = true
@@ -72,9 +72,9 @@
 	c.storedHardState = c.hardState
 	c.installPending, c.compactionPending = false, false
 	c.log.stored = c.log.lastIndex()
-	c.log.delivered = c.log.commit
+	c.log.delivered = c.log.released
 	if c.role == Leader {
-		c.advanceCommit()
+		c.advance()
 	}
 }
 
--- a/consensus/replica/calls.go
+++ b/consensus/replica/calls.go
@@ -27,10 +27,19 @@
 }
 
 // ReadBarrier waits until a quorum has confirmed this replica as leader and the replica has applied
-// all entries that were committed when ReadBarrier was called. Reading the state machine afterwards
+// all entries that were acknowledged when ReadBarrier was called. Reading the state machine afterwards
 // is linearizable. It returns a *NotLeaderError if the replica is not the leader.
 func (r *Replica) ReadBarrier(ctx context.Context) error {
-	rd := &readRequest{result: make(chan error, 1)}
+	return r.read(ctx, &readRequest{result: make(chan error, 1)})
+}
+
+// LeadershipBarrier waits until a quorum has confirmed this replica as leader, whose log then holds the latest membership. It
+// returns a *NotLeaderError if the replica is not the leader.
+func (r *Replica) LeadershipBarrier(ctx context.Context) error {
+	return r.read(ctx, &readRequest{leadershipOnly: true, result: make(chan error, 1)})
+}
+
+func (r *Replica) read(ctx context.Context, rd *readRequest) error {
 	if err := enqueue(ctx, r, r.reads, rd); err != nil {
 		return err
 	}
--- a/consensus/replica/replica.go
+++ b/consensus/replica/replica.go
@@ -318,6 +318,7 @@
 // runRounds runs rounds until the core has no more work.
 func (r *Replica) runRounds() error {
 	for {
+		r.completeChanges()
 		rd := r.core.Ready()
 		if rd.Empty() {
 			r.core.Advance()
--- a/consensus/replica/waiters.go
+++ b/consensus/replica/waiters.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 
 	"github.com/godwithub/godwithub/consensus"
@@ -53,7 +54,8 @@
 }
 
 type readRequest struct {
-	result chan error
+	leadershipOnly bool
+	result         chan error
 }
 
 type changeRequest struct {
@@ -117,20 +119,38 @@
 	return err
 }
 
-// submitReads requests a single confirmation from the core for all collected reads.
+// submitReads requests a single confirmation from the core for all collected reads of a kind.
 func (r *Replica) submitReads() {
-	if len(r.newReads) == 0 {
+	r.submitReadsOfKind(false, r.core.Read)
+	r.submitReadsOfKind(true, r.core.ConfirmLeadership)
+	r.newReads = r.newReads[:0]
+}
+
+func (r *Replica) submitReadsOfKind(leadershipOnly bool, request func() (uint64, error)) {
+	if !slices.ContainsFunc(r.newReads, func(rd *readRequest) bool { return rd.leadershipOnly == leadershipOnly }) {
 		return
 	}
-	seq, err := r.core.Read()
+	seq, err := request()
 	for _, rd := range r.newReads {
-		if err != nil {
+		switch {
+		case rd.leadershipOnly != leadershipOnly:
+		case err != nil:
 			rd.result <- r.toCallerError(err)
-			continue
+		default:
+			r.readsBySeq[seq] = append(r.readsBySeq[seq], rd)
+		}
+	}
+}
+
+// completeChanges reports the membership changes that are committed. They need not be released: the next change may follow, and
+// entries may be released only after that.
+func (r *Replica) completeChanges() {
+	for index, w := range r.waitersByIndex {
+		if w.change != nil && index <= r.core.CommitIndex() {
+			delete(r.waitersByIndex, index)
+			w.reply(proposalResult{})
 		}
-		r.readsBySeq[seq] = append(r.readsBySeq[seq], rd)
 	}
-	r.newReads = r.newReads[:0]
 }
 
 // submitChanges tries to propose the pending membership changes. It is called whenever events have
--- a/controld/debug.go
+++ b/controld/debug.go
@@ -54,6 +54,8 @@
 	Members int    `json:"members"`
 	Last    uint64 `json:"last"` // index of the last log entry
 	Commit  uint64 `json:"commit"`
+	// Released is the last committed index that may be applied and acknowledged, as the leader last told it.
+	Released uint64 `json:"released"`
 }
 
 func (g *Group) metrics() groupMetrics {
@@ -65,7 +67,7 @@
 	leader, _, _ := g.Leader()
 	return groupMetrics{
 		Replica: s.ID.String(), Voter: s.Membership.IsVoter(s.ID), Leader: leader, Term: s.Term,
-		Voters: s.Membership.VoterCount(), Members: len(s.Membership), Last: s.Last, Commit: s.Commit,
+		Voters: s.Membership.VoterCount(), Members: len(s.Membership), Last: s.Last, Commit: s.Commit, Released: s.Released,
 	}
 }
 
--- a/controld/explore_test.go
+++ b/controld/explore_test.go
@@ -21,7 +21,7 @@
 // exploreTime.
 const (
 	exploreTimeVariable = "GODWITHUB_EXPLORE_TIME"
-	exploreTime         = 20 * time.Second
+	exploreTime         = 24 * time.Second
 	exploreStates       = 2000
 	// exploreGCPercent lets the garbage collector run less often. The states that are kept are most of the heap.
 	exploreGCPercent = 400
@@ -42,6 +42,15 @@
 		}
 		return w
 	},
+	// All five processes have started at once. The three seeds found the group, and the others join it.
+	"first start": func() *world {
+		w := newWorld()
+		for i := range 5 {
+			w.start(i)
+			w.procs[i].recent = false
+		}
+		return w
+	},
 	// Five members form a group.
 	"five": startFive,
 	// One of five members is away; a newcomer has its vote.
@@ -78,15 +87,16 @@
 }
 
 // lossCount returns how many machines count as lost: those that are down, frozen or cut off, those that have started less
-// than a catch-up time ago, and those that have stopped for good and have no successor that has caught up. One that stops
-// before it has been taken in after the loss of its disk is lost until its old vote is found by its silence.
-func (w *world) lossCount() int {
+// than a catch-up time ago, and those that have stopped for good and have no successor that has caught up. One that has ended without
+// giving up its vote is lost until its vote is found by its silence: meanwhile the group bears two further losses only at the moment of an
+// acknowledgement (atAck), which waits for that. See docs/design/acknowledgements.md.
+func (w *world) lossCount(atAck bool) int {
 	lost, gone, successors := 0, 0, 0
 	for i := range w.procs {
 		p := &w.procs[i]
 		switch {
 		case !p.started:
-		case p.gone && !p.recent:
+		case p.gone && (atAck || !p.unnoticed):
 			gone++
 		case !p.running, p.frozen, p.cut, p.recent:
 			lost++
@@ -118,7 +128,7 @@
 	for _, name := range parts[1:] {
 		on = append(on, w.index(name))
 	}
-	if !w.act(parts[0], on) || w.lossCount() > w.toleratedLosses() {
+	if !w.act(parts[0], on) || w.lossCount(parts[0] == "write-lose-disk") > w.toleratedLosses() {
 		return false
 	}
 	if isSoon {
@@ -157,7 +167,16 @@
 				w.procs[i].recent = was // all are back at once, with their disks
 			}
 		}
-	case "lose-disk":
+	case "remove": // for good, without a planned stop
+		if !p.running || p.view.leaving {
+			return false
+		}
+		w.kill(on[0])
+		p.gone, p.unnoticed = true, true
+	case "lose-disk", "write-lose-disk": // the latter at the moment at which a write is acknowledged
+		if kind == "write-lose-disk" && !w.write() {
+			return false
+		}
 		for _, i := range on {
 			// Without gossip, a blank process finds the group by the seeds only.
 			if !w.procs[i].running || w.procs[i].view.leaving || w.noGossip {
@@ -175,7 +194,7 @@
 		for !p.gone {
 			w.tick()
 		}
-		p.recent = !takenIn
+		p.unnoticed = !takenIn
 	case "freeze", "thaw":
 		if !p.running || p.frozen == (kind == "freeze") {
 			return false
@@ -210,7 +229,7 @@
 func (w *world) lead(i int) bool {
 	l := w.leader()
 	p := &w.procs[i]
-	if l < 0 || l == i || !p.active() || p.cut || p.core == nil || w.lossCount() >= w.toleratedLosses() {
+	if l < 0 || l == i || !p.active() || p.cut || p.core == nil || w.lossCount(false) >= w.toleratedLosses() {
 		return false
 	}
 	w.procs[l].cut = true
@@ -258,6 +277,7 @@
 		for j := i + 1; j < len(w.procs); j++ {
 			if w.procs[i].running && w.procs[j].running && slices.Index(classes[i+1:], classes[j]) == j-i-1 {
 				add("lose-disk", i, j)
+				add("write-lose-disk", i, j)
 			}
 		}
 	}
@@ -277,13 +297,13 @@
 	case p.cut:
 		return []string{"kill", "lose-disk", "mend"}
 	}
-	return []string{"kill", "lose-disk", "stop", "freeze", "cut", "lose-messages-to", "delay-messages-to", "lead"}
+	return []string{"kill", "lose-disk", "stop", "remove", "freeze", "cut", "lose-messages-to", "delay-messages-to", "lead"}
 }
 
 // class returns a text that is equal for processes that can be exchanged for each other, as far as the model goes.
 func (w *world) class(i int) string {
 	p := &w.procs[i]
-	text := fmt.Sprint(p.seed, p.newcomer, p.running, p.started, p.gone, p.frozen, p.cut, p.recent, p.founders, len(p.stored.Entries), p.stored.Hard.Term)
+	text := fmt.Sprint(p.seed, p.newcomer, p.running, p.started, p.gone, p.frozen, p.cut, p.recent, p.unnoticed, p.founders, len(p.stored.Entries), p.stored.Hard.Term)
 	if p.core == nil {
 		return text + fmt.Sprint(p.view.coordinator, p.name) // the lowest of the ready founders founds the group
 	}
@@ -336,7 +356,7 @@
 			index, err := w.procs[l].core.Propose([]byte("w"))
 			w.runRounds(l)
 			w.deliver()
-			if err == nil && w.procs[l].core.Status().Commit >= index && index > last {
+			if err == nil && w.procs[l].core.Status().Released >= index && index > last {
 				return w.violation
 			}
 		}
@@ -437,7 +457,7 @@
 		assert.NilError(t, err)
 		maxStates = math.MaxInt
 	}
-	for _, name := range []string{"founding", "five", "one away", "replacement", "seeds gone"} {
+	for _, name := range []string{"founding", "first start", "five", "one away", "replacement", "seeds gone"} {
 		began := time.Now()
 		r := explore(exploreStarts[name], maxStates, limit/time.Duration(len(exploreStarts)))
 		t.Logf("%s: %d states in %.1f s, all lists of %d events", name, r.states, time.Since(began).Seconds(), r.depth)
@@ -460,7 +480,11 @@
 		"review/6: a member that was away refuses the leader that joined meanwhile":  {"one away", []string{"lead d1"}},
 		"review/7: the vote of a member that was replaced as planned counts further": {"replacement", []string{"stop c1, soon", "lose-disk c2 c3"}},
 		"review/10: a founder that founded alone stays outside":                      {"founding", []string{"lose-messages-to c1, soon", "kill c1"}},
-		"a member asks only seeds that are gone for its vote":                        {"seeds gone", []string{"start c5", "kill c4"}},
+		"review/11: a write is acknowledged while a member that was killed after its replacement still votes": {"replacement", []string{
+			"remove c1, soon", "write-lose-disk c2 c3"}},
+		"the same, and the leader is among the lost":                      {"replacement", []string{"remove c4, soon", "write-lose-disk c1 c3"}},
+		"review/12: a write is acknowledged while only the founders vote": {"first start", []string{"write-lose-disk c1 c2"}},
+		"a member asks only seeds that are gone for its vote":             {"seeds gone", []string{"start c5", "kill c4"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := playEvents(exploreStarts[list.start](), list.events...)
--- a/controld/exploremodel_test.go
+++ b/controld/exploremodel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"maps"
@@ -35,7 +36,8 @@
 	running, started bool // started: at any time
 	gone             bool // stopped as planned
 	frozen, cut      bool
-	recent           bool // started less than a catch-up time ago, or stopped before it was taken in
+	recent           bool // started less than a catch-up time ago
+	unnoticed        bool // gone for good without having given up its vote
 
 	// On disk.
 	stored   consensus.Stored
@@ -70,6 +72,12 @@
 	deadline int
 }
 
+// modelProposal is an entry that a process has proposed as leader of a term. Its index is 0 if there is none.
+type modelProposal struct {
+	proc        int
+	term, index uint64
+}
+
 type modelMessage struct {
 	consensus.Message
 	from, due int
@@ -93,6 +101,8 @@
 	violation string
 	// dropTo and delayTo are the processes to which messages are lost or late until the next tick ends, or -1.
 	dropTo, delayTo int
+	// awaited is an entry whose acknowledgement ends the delivery of messages, so that what follows happens at that moment.
+	awaited modelProposal
 	// noGossip says that processes know only the seeds and the leader of their replica, not the others that run.
 	noGossip bool
 }
@@ -195,7 +205,7 @@
 func (w *world) startReplica(p *modelProcess) {
 	stored := p.stored
 	stored.Entries = slices.Clone(stored.Entries)
-	core, err := consensus.New(consensus.Config{ID: stored.ID, Seed: uint64(w.ticks)}, stored)
+	core, err := consensus.New(consensus.Config{ID: stored.ID, Seed: uint64(w.ticks), TargetVoters: targetVoters}, stored)
 	if err != nil {
 		panic(err)
 	}
@@ -304,7 +314,7 @@
 func (w *world) deliver() {
 	for range messagesAtOnce {
 		i := w.nextMessage()
-		if i < 0 {
+		if i < 0 || w.acknowledged() {
 			return
 		}
 		m := w.messages[i]
@@ -351,6 +361,39 @@
 	return p.known
 }
 
+// acknowledged reports whether the awaited entry has been applied by the process that proposed it, which answers then.
+func (w *world) acknowledged() bool {
+	p := &w.procs[w.awaited.proc]
+	return w.awaited.index > 0 && p.core != nil && w.leads(w.awaited) && p.core.Status().Released >= w.awaited.index
+}
+
+// leads reports whether the process of a proposal still leads the term in which it was made.
+func (w *world) leads(m modelProposal) bool {
+	role, term := w.procs[m.proc].core.Role()
+	return role == consensus.Leader && term == m.term
+}
+
+// write lets a leader propose an entry and time pass until it is acknowledged. It reports whether it is.
+func (w *world) write() bool {
+	defer func() { w.awaited = modelProposal{} }()
+	for range longTicks {
+		if w.acknowledged() {
+			return true
+		}
+		if l := w.leader(); l >= 0 && (w.awaited.index == 0 || !w.leads(w.awaited)) {
+			if index, err := w.procs[l].core.Propose([]byte("w")); err == nil {
+				_, term := w.procs[l].core.Role()
+				w.awaited = modelProposal{l, term, index}
+				w.runRounds(l)
+				w.deliver()
+				continue
+			}
+		}
+		w.tick()
+	}
+	return w.acknowledged()
+}
+
 // tick lets 100 ms pass.
 func (w *world) tick() {
 	w.ticks++
@@ -438,7 +481,7 @@
 		}
 		for _, addr := range addrs {
 			if j := w.processAt(addr); j != i && w.reaches(i, j) && excludes(infos[j], v.id) {
-				w.discardFounding(p)
+				w.discard(p)
 				return
 			}
 		}
@@ -465,11 +508,11 @@
 	return out
 }
 
-// discardFounding does what Group.discardFounding does.
-func (w *world) discardFounding(p *modelProcess) {
+// discard does what Group.discardReplica does.
+func (w *world) discard(p *modelProcess) {
 	w.lastID++
 	p.stored = consensus.Stored{ID: w.lastID}
-	p.view.blank, p.view.initialMembership = true, nil
+	p.view.blank, p.view.initialMembership, p.refusal = true, nil, ""
 	w.startReplica(p)
 }
 
@@ -543,7 +586,7 @@
 	case j.join && !w.decideJoin(p, j):
 		return
 	case !j.planned && j.readSeq == 0:
-		seq, err := p.core.Read()
+		seq, err := p.core.ConfirmLeadership()
 		if err != nil {
 			w.endJob(p, false)
 			return
@@ -569,7 +612,7 @@
 		put.info = v.info()
 		changes, err := planPut(s, put)
 		if err != nil {
-			w.procs[j.asker].refusal = err.Error()
+			w.refuse(&w.procs[j.asker], err)
 			w.endJob(p, false)
 			return
 		}
@@ -578,6 +621,15 @@
 	w.runChanges(i)
 }
 
+// refuse tells a process why it was not added. One that the leader has excluded gives up its log, see joiner.requestJoin.
+func (w *world) refuse(p *modelProcess, err error) {
+	p.refusal = err.Error()
+	var notBlank *notBlankError
+	if errors.As(err, &notBlank) && notBlank.exclusion.appliesTo(p.core.Status()) {
+		w.discard(p)
+	}
+}
+
 // decideJoin decides which voter a process replaces, see joiner.admit. It reports false while that is not known.
 func (w *world) decideJoin(p *modelProcess, j *modelJob) bool {
 	s, a := p.core.Status(), w.procs[j.asker].address()
@@ -673,13 +725,13 @@
 		return false
 	}
 	s := w.procs[l].core.Status()
-	if !s.MembershipCommitted || s.Commit != s.Last || w.committed[s.Commit].term != s.Term {
+	if !s.MembershipCommitted || s.Released != s.Last || w.committed[s.Released].term != s.Term {
 		return false
 	}
 	for i := range w.procs {
 		p := &w.procs[i]
 		if p.active() && !p.cut && (p.core == nil || !s.Membership.IsVoter(p.stored.ID) ||
-			p.core.Status().Commit != s.Commit || p.core.LeaderID() != s.ID || p.view.leaving) {
+			p.core.Status().Released != s.Released || p.core.LeaderID() != s.ID || p.view.leaving) {
 			return false
 		}
 	}
@@ -705,7 +757,7 @@
 		}
 	}
 	for i := range w.procs {
-		w.procs[i].recent = false
+		w.procs[i].recent, w.procs[i].unnoticed = false, false
 	}
 }
 
@@ -752,7 +804,7 @@
 }
 
 func (p *modelProcess) addTo(h *stateHash) {
-	h.flags(p.running, p.started, p.gone, p.frozen, p.cut, p.recent, p.founders, p.view.blank, p.absentSince.IsZero(), p.refusal == "")
+	h.flags(p.running, p.started, p.gone, p.frozen, p.cut, p.recent, p.unnoticed, p.founders, p.view.blank, p.absentSince.IsZero(), p.refusal == "")
 	h.WriteString(p.view.coordinator)
 	d := &p.stored
 	h.add(uint64(d.ID), d.Hard.Term, uint64(d.Hard.Vote), d.Snapshot.Index, d.Snapshot.Term, uint64(len(d.Entries)), uint64(len(p.jobs)))
@@ -765,7 +817,7 @@
 		return
 	}
 	s := p.core.Status()
-	h.add(uint64(s.Role), uint64(s.Leader), s.Commit, s.Last)
+	h.add(uint64(s.Role), uint64(s.Leader), s.Commit, s.Released, s.Last)
 	for _, m := range s.Membership {
 		h.add(s.Match[m.ID])
 		h.flags(s.Heard[m.ID])
--- a/controld/members.go
+++ b/controld/members.go
@@ -36,7 +36,7 @@
 	ctx     context.Context
 }
 
-// changeMembers calls run after a read barrier. Only one change runs at a time; others wait for it.
+// changeMembers calls run after the leadership was confirmed. Only one change runs at a time; others wait for it.
 func (g *Group) changeMembers(ctx context.Context, run func(*memberChange) error) error {
 	r := g.replica.Load()
 	if r == nil {
@@ -49,7 +49,7 @@
 		return fmt.Errorf("controld: another change of members is under way: %w", ctx.Err())
 	}
 	// The change must be based on the latest membership.
-	if err := r.ReadBarrier(ctx); err != nil {
+	if err := r.LeadershipBarrier(ctx); err != nil {
 		return mapError(err)
 	}
 	return run(&memberChange{g, r, ctx})
--- a/controld/repair_test.go
+++ b/controld/repair_test.go
@@ -8,6 +8,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/godwithub/godwithub/consensus"
+	"github.com/godwithub/godwithub/consensus/replica"
+	"github.com/godwithub/godwithub/resource"
 )
 
 // waitForVoters waits until the member id leads or follows a group with exactly these voters.
@@ -98,3 +102,73 @@
 	g.write(c, "b")
 	g.waitForVoters(members["c1"], "c1", "c3", "c4", "c5", "c6")
 }
+
+// Guards against a change that is acknowledged while a replaced member that was killed still has its vote, so that the loss of two
+// disks right after the acknowledgement leaves three of six votes.
+func TestTwoDisksLostAtAcknowledgementAfterKilledReplacement(t *testing.T) {
+	for _, lost := range []string{"followers", "the leader and a follower"} {
+		t.Run(lost, func(t *testing.T) {
+			t.Parallel()
+			g, members := startReplaced(t)
+			c := g.client("c1", "c2", "c3", "c4", "c5", "c6")
+			g.write(c, "a")
+			leader := g.leaderOf(members, "c1").self.id
+			others := without([]string{"c1", "c2", "c3", "c4", "c5", "c6"}, leader)
+			killed, losing := others[0], others[1:3]
+			if lost != "followers" {
+				losing = []string{leader, others[1]}
+			}
+			g.kill(killed)
+			g.write(c, "b")
+			g.loseDisks(losing...)
+			g.write(c, "c")
+			g.waitForVoters(members[others[4]], without([]string{"c1", "c2", "c3", "c4", "c5", "c6"}, killed)...)
+			callers, err := c.List(t.Context(), resource.TypeCaller, 100, "")
+			assert.NilError(t, err)
+			assert.Equal(t, len(callers.Items), 3)
+		})
+	}
+}
+
+// Guards against a first change that is acknowledged by two of the three founders, while two disks may be lost.
+func TestTwoDisksLostAtFirstAcknowledgement(t *testing.T) {
+	g := newTestGroup(t, "c1", "c2", "c3", "c4", "c5")
+	g.selfRepair = true
+	founders := []string{"c1", "c2", "c3"}
+	members := map[string]*Daemon{}
+	for _, id := range founders {
+		members[id] = g.start(id, founders...)
+	}
+	g.leaderOf(members, "c1")
+	c := g.client("c1", "c2", "c3", "c4", "c5")
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		g.write(c, "a")
+	}()
+	for _, id := range []string{"c4", "c5"} {
+		members[id] = g.start(id)
+	}
+	<-written
+	g.loseDisks("c1", "c2")
+	g.write(c, "b")
+	g.waitForVoters(members["c5"], "c1", "c2", "c3", "c4", "c5")
+}
+
+// Guards against a group of three VMs that never acknowledges a change, or delays each, since two more voters are missing.
+func TestGroupWithoutFurtherProcessesAcknowledges(t *testing.T) {
+	t.Parallel()
+	g := newTestGroup(t, "c1", "c2", "c3")
+	g.selfRepair = true
+	founders := []string{"c1", "c2", "c3"}
+	for _, id := range founders {
+		g.start(id, founders...)
+	}
+	c := g.client(founders...)
+	g.write(c, "a")
+	began := time.Now()
+	for i := range 5 {
+		g.write(c, fmt.Sprint("b", i))
+	}
+	assert.Assert(t, time.Since(began) < consensus.DefaultReleaseTicks*replica.DefaultTickInterval, "%v", time.Since(began))
+}
--- a/controld/replicate.go
+++ b/controld/replicate.go
@@ -161,7 +161,7 @@
 func (g *Group) start(founders consensus.Membership) error {
 	r, err := replica.Start(replica.Config{
 		Group: groupName, Addr: g.self.String(), Founders: founders,
-		Core:  consensus.Config{Seed: rand.Uint64()},
+		Core:  consensus.Config{Seed: rand.Uint64(), TargetVoters: g.targetVoters()},
 		Store: g.store.Load(), Machine: g.machine, Transport: g.transport,
 		SnapshotBytes: snapshotBytes, Log: g.log,
 	})
@@ -185,6 +185,14 @@
 	return nil
 }
 
+// targetVoters returns the number of voters that the group is meant to have; 0: any.
+func (g *Group) targetVoters() int {
+	if g.selfRepair {
+		return targetVoters
+	}
+	return 0
+}
+
 // candidates returns the link addresses of processes that may be members of the group: the seeds and
 // the control VMs that membership knows.
 func (g *Group) candidates(p *Parts) []string {
--- a/scenario/soakmembers.go
+++ b/scenario/soakmembers.go
@@ -8,8 +8,9 @@
 )
 
 // MembersSoak describes a randomized script for the life of the members of a control group that repairs itself: planned
-// replacements in a row, members that are away meanwhile, disks that are lost and processes that are all killed right
-// after an acknowledgement. Clients write and read throughout.
+// replacements in a row, members that are away meanwhile, disks that are lost, processes that are all killed right
+// after an acknowledgement, and replaced members that are killed, after which the first acknowledgements precede the loss of disks. Clients
+// write and read throughout.
 type MembersSoak struct {
 	Seed   uint64
 	Rounds int
@@ -106,13 +107,15 @@
 	m.awaitVoters(m.voters...)
 	// The next fault follows an acknowledgement at once.
 	m.line("group history writes 5 %s", membersTimeout)
-	switch m.r.IntN(3) {
+	switch m.r.IntN(4) {
 	case 0:
 		m.loseDisks()
 	case 1:
 		m.killAll()
 	case 2:
 		m.replaceAndLoseDisks()
+	case 3:
+		m.removeAndLoseDisks()
 	}
 	m.line("group history writes 5 %s", membersTimeout)
 	m.awaitVoters(m.voters...)
@@ -120,13 +123,7 @@
 
 // replace starts a new member and stops an old one as planned once the new one votes.
 func (m *membersScript) replace(away string) (old, added string) {
-	if len(m.spare) > 0 {
-		added, m.spare = m.spare[0], m.spare[1:]
-		m.line("group join")
-	} else {
-		added, m.retired = m.retired[0], m.retired[1:]
-		m.line("group blank %s", added)
-	}
+	added = m.join()
 	running := without(m.voters, away)
 	old = m.pick(running)
 	if away == "" {
@@ -136,9 +133,25 @@
 		m.line("group votes %s %s", membersTimeout, added)
 	}
 	m.line("proc stop %s", old)
+	m.retire(old, added)
+	return old, added
+}
+
+// join starts a new member, on a VM that was never used if there is one.
+func (m *membersScript) join() (added string) {
+	if len(m.spare) > 0 {
+		added, m.spare = m.spare[0], m.spare[1:]
+		m.line("group join")
+	} else {
+		added, m.retired = m.retired[0], m.retired[1:]
+		m.line("group blank %s", added)
+	}
+	return added
+}
+
+func (m *membersScript) retire(old, added string) {
 	m.retired = append(m.retired, old)
 	m.voters = append(without(m.voters, old), added)
-	return old, added
 }
 
 // loseDisks kills two members at once, which come back with blank disks.
@@ -166,6 +179,17 @@
 	m.loseDisks(added)
 }
 
+// removeAndLoseDisks kills a replaced member, and loses disks once writes are acknowledged again.
+func (m *membersScript) removeAndLoseDisks() {
+	added := m.join()
+	old := m.pick(m.voters)
+	m.awaitVoters(append(slices.Clone(m.voters), added)...)
+	m.line("proc kill %s", old)
+	m.retire(old, added)
+	m.line("group history writes 1 %s", membersTimeout)
+	m.loseDisks(added)
+}
+
 func without(names []string, left ...string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return slices.Contains(left, n) })
 }
