An announcement of another service takes nothing from the upstream of the VM

Cause: which of two announcements is right was decided by the start times that their writers name. The stray one took the address, and the upstream's own ones were dropped as older and still acknowledged. Ruled out: that requests are sent to the unknown service (no route names it), and that the detector ejects the upstream (the test runs only the order of announcements).

Change: announcements are weighed by what the node knows itself. The service that the VM's settings name comes before another service of the configuration. One of a service that is not configured waits until it is, at most for its lease.

A probe of the address before an announcement is believed: it waits for a slot at each start.

--- a/announce/order.go
+++ b/announce/order.go
@@ -61,12 +61,14 @@
 
 // Ordered passes announcements on in the order in which upstreams made them. It drops an
 // announcement if a later one of the same upstream has arrived, if its incarnation has ended,
-// or if a later upstream uses its address. A departure is acknowledged once other nodes keep it, and
+// or if a later upstream uses its address. One whose service is not configured waits until it is, and one of a service
+// that is not the VM's takes nothing from an upstream of the VM's service, see trust. A departure is acknowledged once other nodes keep it, and
 // after a restart of this process nothing is passed on before it has been recalled. Ordered is safe for
 // concurrent use.
 type Ordered struct {
 	next       Sink
 	departures Departures
+	vm         VM
 	log        *slog.Logger
 
 	mu    sync.Mutex
@@ -74,12 +76,16 @@
 	// waiting holds the latest announcement of each upstream until departures have been recalled. It is
 	// nil afterwards.
 	waiting map[fleet.UpstreamID]Announcement
+	// unconfigured holds the latest announcement of each upstream whose service is not configured.
+	unconfigured map[fleet.UpstreamID]unconfiguredUpstream
 }
 
 // incarnation holds the latest announcement of one start of an upstream.
 type incarnation struct {
 	Announcement
 	withdrawn bool
+	// displaced is set while another upstream uses the address.
+	displaced bool
 	// unnamed is set if the withdrawal named no start time, so that it may have come from an earlier
 	// process of the upstream.
 	unnamed   bool
@@ -95,12 +101,17 @@
 	return d, inc.Draining || inc.withdrawn
 }
 
-// NewOrdered returns an Ordered in front of next.
-func NewOrdered(next Sink, departures Departures, log *slog.Logger) *Ordered {
+// NewOrdered returns an Ordered in front of next, for the upstreams of vm. Without vm.Services, all services count as configured.
+func NewOrdered(next Sink, departures Departures, vm VM, log *slog.Logger) *Ordered {
+	if vm.Services == nil {
+		vm.Services = anyService{}
+	}
 	o := &Ordered{
-		next: next, departures: departures, log: log,
+		next: next, departures: departures, vm: vm, log: log,
 		known: map[fleet.UpstreamID]*incarnation{}, waiting: map[fleet.UpstreamID]Announcement{},
+		unconfigured: map[fleet.UpstreamID]unconfiguredUpstream{},
 	}
+	vm.Services.Subscribe(o.applyConfiguration)
 	recalled := departures.RecallDepartures(o.recall)
 	select {
 	case <-recalled:
@@ -159,9 +170,18 @@
 		return nil
 	}
 	o.mu.Lock()
+	waits := o.waitsForService(&a)
+	_, known := o.vm.Services.Configured(a.Service)
 	o.accept(a)
 	o.mu.Unlock()
-	return o.record(a.ID)
+	switch {
+	case !waits:
+		return o.record(a.ID)
+	case a.Draining && !known:
+		return &unconfiguredError{a.ID}
+	}
+	// No request reaches an upstream whose service is not configured.
+	return nil
 }
 
 // hold keeps an announcement until departures have been recalled. It reports false if it can be passed on: a
@@ -173,7 +193,7 @@
 		return false
 	}
 	held, ok := o.waiting[a.ID]
-	later := !ok || a.StartMs > held.StartMs || a.StartMs == held.StartMs && a.Sequence > held.Sequence
+	later := !ok || a.isLaterThan(&held)
 	if a.Draining {
 		if later {
 			delete(o.waiting, a.ID)
@@ -190,15 +210,19 @@
 func (o *Ordered) accept(a Announcement) {
 	now := time.Now()
 	o.forgetOld(now)
-	if reason := o.outdatedReason(&a); reason != "" {
+	if o.waitsForService(&a) {
+		o.keepUnconfigured(a, now)
+		return
+	}
+	if reason := o.outdatedReason(&a, now); reason != "" {
 		o.log.Info("announcement dropped", "upstream", a.ID, "cause", reason, "born", a.StartMs, "sequence", a.Sequence)
 		return
 	}
-	o.withdrawOthersAt(&a)
+	o.displaceOthersAt(&a)
 	old := o.known[a.ID]
 	inc := &incarnation{Announcement: a, lastHeard: now, warmMs: a.WarmMs}
 	switch {
-	case old == nil || old.withdrawn:
+	case old == nil || !old.inUse() && old.StartMs != a.StartMs || old.withdrawn:
 	case old.StartMs != a.StartMs:
 		o.log.Info("upstream has restarted", "upstream", a.ID, "born", a.StartMs)
 		o.next.Withdraw(a.ID)
@@ -240,34 +264,13 @@
 }
 
 // outdatedReason returns why an announcement is outdated, or "" if it is not. o.mu is held.
-func (o *Ordered) outdatedReason(a *Announcement) string {
+func (o *Ordered) outdatedReason(a *Announcement, now time.Time) string {
 	if inc := o.known[a.ID]; inc != nil {
-		switch {
-		case a.StartMs < inc.StartMs:
-			return "an earlier incarnation"
-		case a.StartMs == inc.StartMs && inc.withdrawn && !(inc.unnamed && time.Since(inc.lastHeard) > maxDelay):
-			return "the upstream was withdrawn"
-		case a.StartMs == inc.StartMs && a.Sequence <= inc.Sequence:
-			return "overtaken"
-		}
-	}
-	for id, inc := range o.known {
-		if id != a.ID && inc.Addr == a.Addr && !inc.withdrawn && inc.StartMs > a.StartMs {
-			return "a later upstream uses the address"
-		}
-	}
-	return ""
-}
-
-// withdrawOthersAt withdraws the other upstreams at the address of a, which started earlier or
-// at the same time. o.mu is held.
-func (o *Ordered) withdrawOthersAt(a *Announcement) {
-	for id, inc := range o.known {
-		if id != a.ID && inc.Addr == a.Addr && !inc.withdrawn {
-			inc.withdrawn = true
-			o.next.Withdraw(id)
+		if reason := o.conflictWithin(a, inc, now); reason != "" {
+			return reason
 		}
 	}
+	return o.conflictAtAddr(a, now)
 }
 
 // Withdraw implements IncarnationSink.
@@ -305,4 +308,9 @@
 			delete(o.known, id)
 		}
 	}
+	for id, u := range o.unconfigured {
+		if now.Sub(u.lastHeard) > u.Lease() {
+			delete(o.unconfigured, id)
+		}
+	}
 }
--- a/announce/order_test.go
+++ b/announce/order_test.go
@@ -46,7 +46,7 @@
 // has begun to drain, or whose address is used by a later upstream.
 func TestOrderedDropsOldAnnouncements(t *testing.T) {
 	r := &sinkRecorder{}
-	o := NewOrdered(r, NoDepartures{}, logging.Discard())
+	o := NewOrdered(r, NoDepartures{}, VM{}, logging.Discard())
 	announce := func(id string, startMs int64, sequence uint64, addr string) {
 		o.Announce(Announcement{ID: fleet.UpstreamID(id), Addr: addr, StartMs: startMs, Sequence: sequence})
 	}
@@ -79,7 +79,7 @@
 // restart the cold start: the first announced length counts.
 func TestOrderedKeepsRenewals(t *testing.T) {
 	r := &sinkRecorder{}
-	o := NewOrdered(r, NoDepartures{}, logging.Discard())
+	o := NewOrdered(r, NoDepartures{}, VM{}, logging.Discard())
 	for sequence := range uint64(3) {
 		o.Announce(Announcement{ID: "a", Addr: "x", Sequence: sequence + 1, WarmMs: int64(300 - sequence)})
 	}
@@ -92,7 +92,7 @@
 func TestWithdrawalAfterRestartHolds(t *testing.T) {
 	for _, startMs := range []int64{0, 1000} {
 		r := &sinkRecorder{}
-		o := NewOrdered(r, NoDepartures{}, logging.Discard())
+		o := NewOrdered(r, NoDepartures{}, VM{}, logging.Discard())
 		o.Withdraw("a", startMs)
 		o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7})
 		assert.DeepEqual(t, r.recorded(), []string{"-a"})
@@ -140,11 +140,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fakeDepartures{recalled: closedChannel()}
-			before := NewOrdered(&sinkRecorder{}, f, logging.Discard())
+			before := NewOrdered(&sinkRecorder{}, f, VM{}, logging.Discard())
 			assert.NilError(t, before.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7}))
 			assert.NilError(t, leave(before))
 			r := &sinkRecorder{}
-			after := NewOrdered(r, f, logging.Discard())
+			after := NewOrdered(r, f, VM{}, logging.Discard())
 			late := Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 8}
 			assert.NilError(t, after.Announce(late))
 			assert.Equal(t, len(r.recorded()), 0)
@@ -163,7 +163,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := &fakeDepartures{recalled: make(chan struct{})}
 				r := &sinkRecorder{}
-				o := NewOrdered(r, f, logging.Discard())
+				o := NewOrdered(r, f, VM{}, logging.Discard())
 				assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 8}))
 				assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 7}))
 				assert.NilError(t, o.Announce(Announcement{ID: "b", Addr: "y", StartMs: 1000, Sequence: 3}))
@@ -192,7 +192,7 @@
 func TestDepartureIsAcknowledgedOnceKept(t *testing.T) {
 	f := &fakeDepartures{recalled: closedChannel(), fail: context.DeadlineExceeded}
 	r := &sinkRecorder{}
-	o := NewOrdered(r, f, logging.Discard())
+	o := NewOrdered(r, f, VM{}, logging.Discard())
 	draining := Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 2, Draining: true}
 	assert.NilError(t, o.Announce(Announcement{ID: "a", Addr: "x", StartMs: 1000, Sequence: 1}))
 	assert.ErrorIs(t, o.Announce(draining), context.DeadlineExceeded)
@@ -217,7 +217,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := &sinkRecorder{}
-				o := NewOrdered(r, NoDepartures{}, logging.Discard())
+				o := NewOrdered(r, NoDepartures{}, VM{}, logging.Discard())
 				a := Announcement{ID: "a", Addr: "x", StartMs: 2000}
 				announce := func() {
 					a.Sequence++
--- a/node/new.go
+++ b/node/new.go
@@ -45,8 +45,8 @@
 	// CallerProtocol and UpstreamProtocol name the headers that callers and upstreams use.
 	CallerProtocol   ingress.Protocol
 	UpstreamProtocol dispatch.Protocol
-	// Announcements returns the HTTP handler that passes announcements to the sink.
-	Announcements func(announce.Sink, announce.Departures, *slog.Logger) http.Handler
+	// Announcements returns the HTTP handler that passes announcements of the VM's upstreams to the sink.
+	Announcements func(announce.Sink, announce.Departures, announce.VM, *slog.Logger) http.Handler
 }
 
 // New builds a node and opens its listeners. Run serves them.
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	if options.Announcements == nil {
-		options.Announcements = func(s announce.Sink, _ announce.Departures, l *slog.Logger) http.Handler {
+		options.Announcements = func(s announce.Sink, _ announce.Departures, _ announce.VM, l *slog.Logger) http.Handler {
 			return announce.Handler(s, l)
 		}
 	}
@@ -179,6 +179,11 @@
 	}
 }
 
+// vm returns what this node knows of its VM. Nodes are told the service of their VM only where upstreams have one address each.
+func (n *Node) vm() announce.VM {
+	return announce.VM{Service: n.settings.OriginService, Services: &n.services}
+}
+
 func (n *Node) listen(log *slog.Logger) error {
 	var err error
 	if n.callerLn, err = net.Listen("tcp", n.settings.CallerAddr); err != nil {
@@ -190,7 +195,7 @@
 	if n.announceLn, err = net.Listen("tcp", n.settings.AnnounceAddr); err != nil {
 		return fmt.Errorf("node: announce address: %w", err)
 	}
-	n.announcements = newLocalServer(n.options.Announcements(announcementSink{n}, n.membership, partLogger(log, "announce")))
+	n.announcements = newLocalServer(n.options.Announcements(announcementSink{n}, n.membership, n.vm(), partLogger(log, "announce")))
 	if n.settings.ReadyAddr != "" {
 		if n.readyLn, err = net.Listen("tcp", n.settings.ReadyAddr); err != nil {
 			return fmt.Errorf("node: ready address: %w", err)
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,7 @@
 	groups       *groups
 	quotas       *quotaClient
 	crossRegion  crossRegionBudget
+	services     configuredServices
 
 	observations        chan dispatch.Observation
 	droppedObservations expvar.Int // observations dropped because the queue was full
@@ -211,6 +212,7 @@
 		c := resource.Compile(s)
 		n.log.Info("configuration received", "version", c.Version.String(), "routes", c.Routes())
 		n.post(board.ConfigChanged{Config: c})
+		n.services.update(c)
 		n.groups.host.SetGroups(c.Groups)
 	})
 	g.Go(func() error { return n.mux.Serve(runCtx, n.listener) })
