Refuse ids of upstreams that other nodes cannot decode

What was seen: an announcement or a departure whose id holds a byte that is not UTF-8 is acknowledged, and the records in which its node passes it on are refused by all others, each with the whole datagram.

Cause: the length of an id was checked and not its encoding, and departures were not checked at all. The codec of datagrams encodes any bytes as text and decodes UTF-8 only.

Change: announcements and departures with such an id get 400, and a record with a name that others cannot decode is not sent.

Before: TestUndecodableIDsAreRefused ("200 != 400") and TestRecordsThatOthersRefuseAreInvalid (upstream "i-\xff") fail. After: both pass.

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/godwithub/godwithub/fleet"
 	"github.com/godwithub/godwithub/resource"
@@ -76,7 +77,9 @@
 		}
 	}
 	host, _, err := net.SplitHostPort(a.Addr)
-	check(a.ID != "" && len(a.ID) <= maxIDLength, "id", "must have 1 to %d characters", maxIDLength)
+	if err := ValidateID(a.ID); err != nil {
+		faults = append(faults, err)
+	}
 	check(resource.ValidName(a.Service), "service", "%.64q is not a valid name", a.Service)
 	check(err == nil && net.ParseIP(host) != nil, "addr", "%.64q is not an IP address and port", a.Addr)
 	check(a.Slots >= 1 && a.Slots <= maxSlots, "slots", "%d is not between 1 and %d", a.Slots, maxSlots)
@@ -86,6 +89,14 @@
 	return errors.Join(faults...)
 }
 
+// ValidateID returns an error if an upstream can't have the id. Other nodes refuse records with an id that is not UTF-8.
+func ValidateID(id fleet.UpstreamID) error {
+	if id == "" || len(id) > maxIDLength || !utf8.ValidString(string(id)) {
+		return fmt.Errorf("id: %.64q does not have 1 to %d bytes of UTF-8", id, maxIDLength)
+	}
+	return nil
+}
+
 // Sink receives announcements that passed validation.
 type Sink interface {
 	Announce(Announcement)
@@ -116,7 +127,12 @@
 		json.NewEncoder(w).Encode(LeaseGrant{a.LeaseMs})
 	})
 	mux.HandleFunc("DELETE /v1/upstreams/{id}", func(w http.ResponseWriter, r *http.Request) {
-		sink.Withdraw(fleet.UpstreamID(r.PathValue("id")))
+		id := fleet.UpstreamID(r.PathValue("id"))
+		if err := ValidateID(id); err != nil {
+			refuse(w, log, id, err)
+			return
+		}
+		sink.Withdraw(id)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -200,7 +201,8 @@
 	return m, records, nil
 }
 
-func validName(s string) bool { return s != "" && len(s) <= maxName }
+// validName reports whether others can decode a name, and accept it.
+func validName(s string) bool { return s != "" && len(s) <= maxName && utf8.ValidString(s) }
 
 func (r *record) check() error {
 	ok := validName(string(r.Node)) && (r.Status == nil || r.Status.State <= fleet.NodeDead)
