Refuse announcements that no upstream of the VM can have made

What was seen, by reading and in tests of the handler: an announcement with an address of another VM or of the node itself, or with a start far in the future, is acknowledged and used. A start in the future counts as later than all real ones until then, and a departure with one is kept on the disks of control VMs.

Change: such announcements and departures get 400. The clock of an upstream may be a minute ahead of the node's.

Before: TestImpossibleAnnouncementsAreRefused fails (200 for each). After: it passes.

--- a/announce/trust.go
+++ b/announce/trust.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/godwithub/godwithub/fleet"
@@ -18,8 +20,38 @@
 // VM is what a node knows of its VM without any announcement.
 type VM struct {
 	// Service is the service of the VM's upstream; empty: not known.
-	Service  string
-	Services Services
+	Service string
+	// IP is the address of the VM; empty: upstreams may have any.
+	IP string
+	// NodeAddrs are the addresses at which the node itself listens.
+	NodeAddrs []string
+	Services  Services
+}
+
+// maxClockError bounds how far an upstream's clock may be ahead of the node's.
+const maxClockError = time.Minute
+
+// CheckAddr returns an error if an upstream of the VM can't have the address.
+func (vm *VM) CheckAddr(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	switch {
+	case err != nil:
+		return fmt.Errorf("addr: %w", err)
+	case vm.IP != "" && host != vm.IP:
+		return fmt.Errorf("addr: %.64q is not an address of the VM %s", addr, vm.IP)
+	case slices.Contains(vm.NodeAddrs, addr):
+		return fmt.Errorf("addr: %.64q is an address of the node", addr)
+	}
+	return nil
+}
+
+// CheckStart returns an error if no process can have started at startMs, in Unix milliseconds: it would count as later than all
+// that start until then.
+func CheckStart(startMs int64, now time.Time) error {
+	if startMs > now.Add(maxClockError).UnixMilli() {
+		return fmt.Errorf("start: %d is in the future", startMs)
+	}
+	return nil
 }
 
 // trust says how far an announcement may decide about other upstreams. Any process on the VM can send one, so that one of
--- a/cmd/godwithub-platform/main.go
+++ b/cmd/godwithub-platform/main.go
@@ -126,7 +126,7 @@
 func newNode(p *platform.Settings, nodeSettings node.Settings, log *slog.Logger) (daemon, error) {
 	return node.New(nodeSettings, log, node.Options{
 		Join: node.JoinFleet(nodeSettings), CallerProtocol: platform.CallerProtocol(), UpstreamProtocol: platform.UpstreamProtocol(),
-		Announcements: platform.Announcements(p.HeartbeatInterval),
+		Announcements: platform.Announcements(p.HeartbeatInterval, p.IP),
 	})
 }
 
--- a/node/new.go
+++ b/node/new.go
@@ -181,7 +181,11 @@
 
 // vm returns what this node knows of its VM. Nodes are told the service of their VM only where upstreams have one address each.
 func (n *Node) vm() announce.VM {
-	return announce.VM{Service: n.settings.OriginService, Services: &n.services}
+	s := &n.settings
+	return announce.VM{
+		Service: s.OriginService, NodeAddrs: []string{s.CallerAddr, s.AnnounceAddr, s.ReadyAddr, s.LinkAddr, s.DebugAddr},
+		Services: &n.services,
+	}
 }
 
 func (n *Node) listen(log *slog.Logger) error {
