Refuse announcements and bodies of the resource API that can be read in two ways

What was seen, in tests of the handlers: an announcement that names its state twice is accepted with the last one, as are bodies of the resource API with a field named twice or in two cases, and text that is not UTF-8 is repaired.

Change: both are checked by internal/strictjson. Settings of processes are not: the platform writes them, and unknown fields have to be ignored there.

--- a/announce/announce.go
+++ b/announce/announce.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"unicode/utf8"
 
 	"github.com/godwithub/godwithub/fleet"
+	"github.com/godwithub/godwithub/internal/strictjson"
 	"github.com/godwithub/godwithub/resource"
 )
 
@@ -113,13 +115,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/upstreams/{id}", func(w http.ResponseWriter, r *http.Request) {
 		a := Announcement{ID: fleet.UpstreamID(r.PathValue("id"))}
-		body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-		body.DisallowUnknownFields()
-		if err := body.Decode(&a); err != nil {
-			refuse(w, log, a.ID, err)
-			return
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err == nil {
+			err = strictjson.Unmarshal(body, &a)
+		}
+		if err == nil {
+			err = a.Validate()
 		}
-		if err := a.Validate(); err != nil {
+		if err != nil {
 			refuse(w, log, a.ID, err)
 			return
 		}
--- a/control/server/answer.go
+++ b/control/server/answer.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwithub/godwithub/control"
 	"github.com/godwithub/godwithub/control/apiv1"
+	"github.com/godwithub/godwithub/internal/strictjson"
 	"github.com/godwithub/godwithub/resource"
 )
 
@@ -67,10 +68,24 @@
 	return b, true
 }
 
+// readJSON returns the body of the request, which has to be one JSON value that can be read in one way only. It returns false if
+// it has answered the request with an error.
+func readJSON(ctx iris.Context) ([]byte, bool) {
+	body, ok := readBody(ctx, apiv1.MaxBodyBytes)
+	if !ok {
+		return nil, false
+	}
+	if err := strictjson.Check(body); err != nil {
+		writeBodyError(ctx, err)
+		return nil, false
+	}
+	return body, true
+}
+
 // readDocument decodes the body of the request into target. It returns false if it has answered the request
 // with an error.
 func readDocument(ctx iris.Context, target any) bool {
-	body, ok := readBody(ctx, apiv1.MaxBodyBytes)
+	body, ok := readJSON(ctx)
 	if !ok {
 		return false
 	}
--- a/control/server/resources.go
+++ b/control/server/resources.go
@@ -102,7 +102,7 @@
 }
 
 func (h typeHandlers) decode(ctx iris.Context) (resource.Object, bool) {
-	body, ok := readBody(ctx, apiv1.MaxBodyBytes)
+	body, ok := readJSON(ctx)
 	if !ok {
 		return nil, false
 	}
@@ -115,7 +115,7 @@
 }
 
 func (s *Server) applyBatch(ctx iris.Context) {
-	body, ok := readBody(ctx, apiv1.MaxBodyBytes)
+	body, ok := readJSON(ctx)
 	if !ok {
 		return
 	}
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -140,6 +140,15 @@
 	return resp.StatusCode
 }
 
+// Guards against a body that is read as another one than was sent.
+func TestUnreadableBodiesAreRefused(t *testing.T) {
+	f := newFixture(t)
+	for _, object := range []string{`{"name":"a","weight":1,"weight":2}`, `{"name":"a","weight":1,"Weight":2}`, "{\"name\":\"a\",\"weight\":1,\"x\xe1\":1}", `{"name":"a\ud800","weight":1}`} {
+		assert.Equal(t, f.call(nil, RoleWriter, "POST", "/v1/callers", object), 400, object)
+	}
+	assert.Equal(t, f.call(nil, RoleWriter, "POST", "/v1/callers", `{"name":"a","weight":1}`), 201)
+}
+
 // Guards against requests that are accepted without a token, with a wrong one or with too low a role,
 // against refusals that are not logged, and against secrets in the log.
 func TestTokens(t *testing.T) {
