--- a/announce/trust.go
+++ b/announce/trust.go
@@ -121,12 +121,14 @@
 // inUse reports whether the incarnation was passed on and not taken back.
 func (inc *incarnation) inUse() bool { return !inc.withdrawn && !inc.displaced }
 
-// expired reports whether the lease of the last announcement has ended, so that nothing is lost if another one replaces it.
+// expired reports whether the lease of the last announcement has ended. The upstream is out of use then, so that nothing is lost
+// if another one takes its place.
 func (inc *incarnation) expired(now time.Time) bool {
 	return inc.LeaseMs > 0 && now.Sub(inc.lastHeard) > inc.Lease()
 }
 
-// conflictWithin returns why an announcement has to yield to what is known under its id, or "".
+// conflictWithin returns why an announcement has to yield to inc, which is known under its id, or "". What an upstream has said about
+// its end outlasts its lease, so that a late announcement does not take it back.
 func (o *Ordered) conflictWithin(a *Announcement, inc *incarnation, now time.Time) string {
 	expired := inc.expired(now) && !inc.Draining && !inc.withdrawn
 	if inc.inUse() && inc.Service != "" && !expired {
--- a/consensus/doc.go
+++ b/consensus/doc.go
@@ -5,7 +5,7 @@
 //
 // The caller drives the core in rounds:
 //
-//	core.Tick(), core.Step(message), core.Propose(commands...), core.Read()
+//	core.Tick(), core.Step(message), core.Propose(commands...), core.Read(), core.ConfirmLeadership()
 //	rd := core.Ready()
 //	send rd.EarlyMessages
 //	store rd.Batch, with one sync
@@ -36,11 +36,16 @@
 // whole terms. The leader may send entries before it has stored them itself, because it counts its
 // own log towards a quorum only up to the last stored entry.
 //
+// # Release
+//
+// A committed entry is applied once the leader has released it, which is at once unless Config.TargetVoters
+// is set and the group has another number of voters. Followers learn of released entries only. See release.go.
+//
 // # Reads
 //
 // Read requests a confirmed read index. A read is confirmed once a quorum has acknowledged, in the
-// same term, a heartbeat sent after the read arrived, and an entry of the leader's own term is
-// committed.
+// same term, a heartbeat sent after the read arrived, an entry of the leader's own term is committed, and all
+// that the log held at the election is released. ConfirmLeadership does not wait for the last of these.
 //
 // # Membership
 //
--- a/consensus/release.go
+++ b/consensus/release.go
@@ -2,11 +2,12 @@
 
 import "github.com/godwithub/godwithub/consensus/quorum"
 
-// A group is meant to have Config.TargetVoters voters, and to work on and keep all that it has acknowledged if up to half of them
-// lose their disks at the same moment. With another number of voters a quorum does not suffice for that. Some of more voters
-// may have ended unnoticed, and only those that have stored an entry are known to have run since it was proposed. Therefore the leader
-// releases entries later than it commits them: it neither applies nor acknowledges them before, and followers learn of
-// released entries only. docs/design/acknowledgements.md goes through the memberships.
+// A group is meant to have Config.TargetVoters voters, and to work on and keep all that it has acknowledged if a minority of them
+// loses its disks at the same moment. While it has another number of voters, a quorum that has stored an entry does not suffice
+// for that: of too many voters some may have ended unnoticed, and of too few too many are lost. Only the voters that have stored an entry
+// are known to have run since it was proposed. Therefore the leader releases entries later than it commits them. It
+// neither applies nor acknowledges them before, and followers learn of released entries only.
+// docs/design/acknowledgements.md goes through the memberships.
 
 // lossesToBear returns how many disks the group is to bear the loss of. Voters that are silent, beyond those that the group has too
 // many or too few, may be such losses.
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -35,7 +35,8 @@
 // maxDepth bounds the nesting of values.
 const maxDepth = 64
 
-// Check returns an error if body is not exactly one JSON value, whose names differ within each object, also in more than case.
+// Check returns an error if body is not exactly one JSON value, or if an object in it has two names that are equal but for
+// their case.
 func Check(body []byte) error {
 	return check(body, nil)
 }
--- a/node/new.go
+++ b/node/new.go
@@ -179,7 +179,7 @@
 	}
 }
 
-// vm returns what this node knows of its VM. Nodes are told the service of their VM only where upstreams have one address each.
+// vm returns what this node knows of its VM without any announcement.
 func (n *Node) vm() announce.VM {
 	s := &n.settings
 	return announce.VM{
